--- a/Libraries/LibControl/ControlChannel.cpp
+++ b/Libraries/LibControl/ControlChannel.cpp
@@ -16,13 +16,13 @@
 {
 }
 
-SignedMessage ControlChannel::seal(const Model::Endpoint& to, Model::Incarnation current, Decision::MessageBody body)
+SignedMessage ControlChannel::seal(const Model::Endpoint& to, Model::Incarnation current, Decision::MessageBody body, Model::Revision routesVersion)
 {
     Envelope envelope;
     envelope.to = to;
     envelope.senderStart = m_start;
     envelope.sequence = ++m_lastSequence;
-    envelope.message = { m_self, current, m_selfControl, std::move(body) };
+    envelope.message = { m_self, current, m_selfControl, std::move(body), routesVersion };
     auto text = m_codec.encode(envelope);
     auto signature = m_signer.sign(messagePurpose, text);
     ++m_counters.messagesSent;
--- a/Libraries/LibControl/ControlChannel.h
+++ b/Libraries/LibControl/ControlChannel.h
@@ -31,7 +31,7 @@
 public:
     ControlChannel(const std::string& fleetKey, Model::InstanceId self, Model::Incarnation start, Model::Endpoint selfControl);
 
-    SignedMessage seal(const Model::Endpoint& to, Model::Incarnation current, Decision::MessageBody);
+    SignedMessage seal(const Model::Endpoint& to, Model::Incarnation current, Decision::MessageBody, Model::Revision routesVersion = {});
     // Throws ControlError; every refusal is counted.
     Decision::Message open(const SignedMessage&);
 
--- a/Libraries/LibControl/MessageCodec.cpp
+++ b/Libraries/LibControl/MessageCodec.cpp
@@ -20,6 +20,7 @@
         archive.field("from", value.message.from);
         archive.field("fromIncarnation", value.message.fromIncarnation);
         archive.field("fromControl", value.message.fromControl);
+        archive.field("routes", value.message.routesVersion);
     }
 
     template <typename Body>
--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -37,6 +37,53 @@
     archive.field("fingerprint", value.fingerprint);
 }
 
+template <typename Archive>
+void describe(Archive& archive, RouteTarget& value)
+{
+    archive.field("service", value.service);
+    archive.field("weight", value.weight);
+}
+
+template <typename Archive>
+void describe(Archive& archive, Route& value)
+{
+    archive.field("name", value.name);
+    archive.field("host", value.host);
+    archive.field("pathPrefix", value.pathPrefix);
+    archive.field("targets", value.targets);
+    archive.field("isIdempotent", value.isIdempotent);
+    archive.field("timeout", value.timeout);
+    archive.field("latencyObjective", value.latencyObjective);
+    archive.field("priority", value.priority);
+    archive.field("maximumAttempts", value.maximumAttempts);
+}
+
+template <typename Archive>
+void describe(Archive& archive, ServiceTerms& value)
+{
+    archive.field("name", value.name);
+    archive.field("healthPath", value.healthPath);
+    archive.field("maximumConnections", value.maximumConnections);
+}
+
+template <typename Archive>
+void describe(Archive& archive, CallerLimits& value)
+{
+    archive.field("headerBytes", value.headerBytes);
+    archive.field("bodyBytes", value.bodyBytes);
+    archive.field("headerTimeout", value.headerTimeout);
+    archive.field("idleTimeout", value.idleTimeout);
+}
+
+template <typename Archive>
+void describe(Archive& archive, RouteTable& value)
+{
+    archive.field("version", value.version);
+    archive.field("routes", value.routes);
+    archive.field("services", value.services);
+    archive.field("limits", value.limits);
+}
+
 inline const char* kindOf(const ProfileRevision&) { return "profile"; }
 
 }
@@ -217,6 +264,20 @@
     archive.field("entries", value.entries);
 }
 
+template <typename Archive>
+void describe(Archive& archive, RouteTableRequest& value)
+{
+    archive.field("known", value.known);
+}
+
+template <typename Archive>
+void describe(Archive& archive, RouteTablePart& value)
+{
+    archive.field("number", value.number);
+    archive.field("count", value.count);
+    archive.field("table", value.table);
+}
+
 template <typename Archive>
 void describe(Archive& archive, LoadReport& value)
 {
@@ -244,5 +305,7 @@
 inline const char* kindOf(const ClaimReply&) { return "claim-reply"; }
 inline const char* kindOf(const ClaimOutcome&) { return "claim-outcome"; }
 inline const char* kindOf(const ClaimHandover&) { return "claim-handover"; }
+inline const char* kindOf(const RouteTableRequest&) { return "route-table-request"; }
+inline const char* kindOf(const RouteTablePart&) { return "route-table-part"; }
 
 }
--- /dev/null
+++ b/Libraries/LibDecision/CallTerms.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibModel/Identifiers.h>
+#include <LibModel/Time.h>
+
+#include <cstdint>
+
+namespace Decision {
+
+using namespace Model;
+
+// How one request is treated, as its route or its service's profile says.
+struct CallTerms {
+    // Whether it may run more than once.
+    bool isIdempotent { false };
+    // Bound on its deadline.
+    Duration timeout { 0 };
+    // A later answer is worth less to the caller.
+    Duration latencyObjective { 0 };
+    // 0 goes first.
+    uint32_t priority { 0 };
+    // Backend servers that it may be sent to.
+    uint32_t maximumAttempts { 1 };
+
+    bool operator==(const CallTerms&) const = default;
+};
+
+}
--- a/Libraries/LibDecision/Calls/AttemptVerdict.cpp
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.cpp
@@ -4,16 +4,6 @@
 
 namespace {
 
-    // https://www.rfc-editor.org/rfc/rfc9110#section-15.6
-    constexpr uint16_t badGateway = 502;
-    constexpr uint16_t serviceUnavailable = 503;
-    constexpr uint16_t gatewayTimeout = 504;
-
-    bool saysUnavailable(uint16_t status)
-    {
-        return status == badGateway || status == serviceUnavailable || status == gatewayTimeout;
-    }
-
     bool isForGood(Reason reason)
     {
         switch (reason) {
@@ -30,11 +20,19 @@
 
 }
 
+bool isServerError(uint16_t status)
+{
+    // https://www.rfc-editor.org/rfc/rfc9110#section-15.6
+    constexpr uint16_t firstServerError = 500;
+    constexpr uint16_t notImplemented = 501;
+    return status >= firstServerError && status != notImplemented;
+}
+
 AttemptVerdict verdictOf(const AttemptReport& report)
 {
     switch (report.result) {
     case AttemptResult::Answered:
-        return saysUnavailable(report.status) ? AttemptVerdict::ServerUnavailable : AttemptVerdict::Deliver;
+        return isServerError(report.status) ? AttemptVerdict::ServerFailed : AttemptVerdict::Deliver;
     case AttemptResult::RefusedNotRun:
     case AttemptResult::NotSent:
         return isForGood(report.reason) ? AttemptVerdict::NotRunForGood : AttemptVerdict::NotRun;
@@ -82,6 +80,7 @@
 {
     switch (reason) {
     case Reason::NoBackend:
+    case Reason::NotConfigured:
     case Reason::QueueFull:
     case Reason::FairShareExceeded:
     case Reason::BackendDraining:
--- a/Libraries/LibDecision/Calls/AttemptVerdict.h
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.h
@@ -9,7 +9,7 @@
     // A whole answer that is delivered.
     Deliver,
     // A whole answer by which the backend server says that it couldn't serve; another one might.
-    ServerUnavailable,
+    ServerFailed,
     // Definitely not run; another backend server may be asked.
     NotRun,
     // Definitely not run, and another backend server would refuse it as well.
@@ -20,6 +20,9 @@
     Redirect,
 };
 
+// Says whether another backend server may do better. One that doesn't know the method fails everywhere.
+bool isServerError(uint16_t status);
+
 AttemptVerdict verdictOf(const AttemptReport&);
 
 // Why the attempt failed: the report's reason, or the one that its result implies.
--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/CallTerms.h>
 #include <LibDecision/Calls/RequestState.h>
 #include <LibDecision/Message.h>
 #include <LibModel/Request.h>
@@ -15,8 +16,9 @@
 struct CallRecord {
     RequestInfo request;
     RequestState state { RequestState::Routing };
+    Instant arrivedAt;
     Instant deadline;
-    bool isIdempotent { false };
+    CallTerms terms;
     // Sends so far.
     uint32_t attempts { 0 };
     // The send that is under way.
@@ -27,6 +29,8 @@
     std::vector<BackendId> tried;
     // True once any send may have run.
     bool mayHaveRun { false };
+    // HTTP status of the last answer; 0 if the last send had none.
+    uint16_t lastStatus { 0 };
     // How the last send failed, and where.
     Reason lastReason { Reason::None };
     std::string lastPeer { "local" };
--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -72,6 +72,8 @@
     void handleTimer(Turn&);
 
     void arrive(Turn&, const CallArrived&);
+    // Tells the caller at once that its request isn't run.
+    void refuse(Turn&, const CallArrived&, Reason);
     void callerGone(Turn&, CallId);
     void attemptFinished(Turn&, const AttemptFinished&);
     // From now on every new request is refused with "not run".
@@ -93,6 +95,7 @@
     // A hint to callers that were refused for a lack of capacity.
     static constexpr Duration retryHint = 1s;
 
+    CallTerms termsOf(const CallArrived&, const Profile&) const;
     std::optional<Reason> refusalFor(const CallArrived&, const Profile&, Instant now) const;
     void routeFirst(Turn&, CallId, CallRecord&);
     std::optional<RouteChoice> choose(Turn&, const CallRecord&, Reason&);
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -43,8 +43,9 @@
     CallRecord record;
     record.request = arrival.request;
     record.state = m_chart.initial();
-    record.isIdempotent = profile.isIdempotent(arrival.request.method, arrival.request.path);
-    record.deadline = turn.now() + std::min(arrival.request.remaining.value_or(profile.deadlines.defaultDeadline), profile.deadlines.maximumDeadline);
+    record.arrivedAt = turn.now();
+    record.terms = termsOf(arrival, profile);
+    record.deadline = turn.now() + std::min(arrival.request.remaining.value_or(profile.deadlines.defaultDeadline), record.terms.timeout);
     auto refusal = refusalFor(arrival, profile, turn.now());
     if (!refusal && !m_limit.enter(arrival.request.account))
         refusal = Reason::Overloaded;
@@ -57,6 +58,28 @@
     routeFirst(turn, arrival.call, call);
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+CallTerms CallTable<Routing, Observer, Directory>::termsOf(const CallArrived& arrival, const Profile& profile) const
+{
+    if (arrival.terms)
+        return *arrival.terms;
+    CallTerms terms;
+    terms.isIdempotent = profile.isIdempotent(arrival.request.method, arrival.request.path);
+    terms.timeout = profile.deadlines.maximumDeadline;
+    terms.latencyObjective = profile.deadlines.maximumDeadline;
+    terms.maximumAttempts = profile.retries.maximumAttempts;
+    return terms;
+}
+
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+void CallTable<Routing, Observer, Directory>::refuse(Turn& turn, const CallArrived& arrival, Reason reason)
+{
+    CallRecord record;
+    record.request = arrival.request;
+    record.lastReason = reason;
+    tellRefusal(turn, arrival.call, record, Outcome::NotRun);
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::callerGone(Turn& turn, CallId id)
 {
@@ -118,7 +141,7 @@
 {
     RouteRequest request;
     request.service = call.request.service;
-    request.isIdempotent = call.isIdempotent;
+    request.isIdempotent = call.terms.isIdempotent;
     request.key = call.request.key;
     request.excluded = call.tried;
     return m_routing.choose(turn, request, reason);
@@ -154,7 +177,7 @@
     effect.attemptNumber = call.attempts;
     effect.remaining = remaining - std::min<Duration>(answerMargin, remaining / 10);
     effect.progressTimeout = profileOf(call.request.service).deadlines.progressTimeout;
-    effect.isIdempotent = call.isIdempotent;
+    effect.isIdempotent = call.terms.isIdempotent;
     turn.emit(std::move(effect));
     armTimer(id, call, turn.now());
 }
@@ -186,7 +209,7 @@
 void CallTable<Routing, Observer, Directory>::armTimer(CallId id, const CallRecord& call, Instant now)
 {
     auto due = call.deadline;
-    bool maySendElsewhere = call.isIdempotent && !call.isReplay() && mayRetry(call, now);
+    bool maySendElsewhere = call.terms.isIdempotent && !call.isReplay() && mayRetry(call, now);
     if (maySendElsewhere) {
         auto timeout = m_services[call.request.service].timeout.timeout(call.deadline - now);
         due = std::min(due, now + timeout.value_or(call.deadline - now));
@@ -201,6 +224,7 @@
     if (call.isReplay())
         return;
     call.lastReason = reasonOf(report);
+    call.lastStatus = report.status;
     call.lastPeer = call.backend->id.value();
     if (report.result == AttemptResult::Cut || report.reason == Reason::AnswerCut)
         m_crashGuard.recordCut(turn, { call.request.fingerprint, call.backend->id, call.backend->incarnation });
@@ -216,7 +240,7 @@
 void CallTable<Routing, Observer, Directory>::handleVerdict(Turn& turn, CallId id, CallRecord& call, const AttemptReport& report)
 {
     auto verdict = verdictOf(report);
-    if (verdict == AttemptVerdict::Deliver || (call.isReplay() && verdict == AttemptVerdict::ServerUnavailable)) {
+    if (verdict == AttemptVerdict::Deliver || (call.isReplay() && verdict == AttemptVerdict::ServerFailed)) {
         answer(turn, id, call);
         return;
     }
@@ -226,9 +250,9 @@
     }
     switch (verdict) {
     case AttemptVerdict::Deliver:
-    case AttemptVerdict::ServerUnavailable:
+    case AttemptVerdict::ServerFailed:
         call.mayHaveRun = true;
-        if (!call.isIdempotent || !retry(turn, id, call, RetryKind::Rerun))
+        if (!call.terms.isIdempotent || !retry(turn, id, call, RetryKind::Rerun))
             answer(turn, id, call);
         return;
     case AttemptVerdict::NotRun:
@@ -239,7 +263,7 @@
         return;
     case AttemptVerdict::MayHaveRun:
         call.mayHaveRun = true;
-        if (call.isIdempotent)
+        if (call.terms.isIdempotent)
             retryOrConclude(turn, id, call, RetryKind::Rerun);
         else
             conclude(turn, id, call);
@@ -254,7 +278,7 @@
 bool CallTable<Routing, Observer, Directory>::mayRetry(const CallRecord& call, Instant now) const
 {
     const auto& profile = profileOf(call.request.service);
-    if (call.attempts >= profile.retries.maximumAttempts || now >= call.deadline)
+    if (call.attempts >= call.terms.maximumAttempts || now >= call.deadline)
         return false;
     return !m_crashGuard.isRefused(call.request.fingerprint, profile.crash, now);
 }
@@ -325,6 +349,8 @@
 {
     transition(call, RequestEvent::Answered);
     turn.emit(AnswerCall { id, call.attempt });
+    auto kind = isServerError(call.lastStatus) ? DecisionKind::RequestFailed : DecisionKind::RequestAnswered;
+    explain(turn, kind, call, "answer", "status " + std::to_string(call.lastStatus) + " after " + std::to_string((turn.now() - call.arrivedAt) / 1ms) + " ms, attempt " + std::to_string(call.attempts));
     remove(id);
 }
 
--- a/Libraries/LibDecision/Configuration/ProfileBook.cpp
+++ b/Libraries/LibDecision/Configuration/ProfileBook.cpp
@@ -2,10 +2,18 @@
 
 namespace Decision {
 
+ProfileBook::ProfileBook(Profile defaults)
+    : m_defaults(std::move(defaults))
+{
+}
+
 const Profile& ProfileBook::profile(const ProfileName& name) const
 {
     auto inForce = find(name);
-    return inForce ? inForce->profile : m_defaults;
+    if (inForce)
+        return inForce->profile;
+    auto byTerms = m_byTerms.find(name);
+    return byTerms == m_byTerms.end() ? m_defaults : byTerms->second;
 }
 
 Revision ProfileBook::revision(const ProfileName& name) const
@@ -29,6 +37,15 @@
     return profiles;
 }
 
+void ProfileBook::putTerms(const ServiceTerms& terms)
+{
+    auto profile = m_defaults;
+    profile.name = ProfileName(terms.name.value());
+    profile.health.probePath = terms.healthPath;
+    profile.capacity.connections = terms.maximumConnections;
+    m_byTerms.insert_or_assign(profile.name, std::move(profile));
+}
+
 void ProfileBook::put(ProfileInForce inForce)
 {
     auto name = inForce.revision.name;
--- a/Libraries/LibDecision/Configuration/ProfileBook.h
+++ b/Libraries/LibDecision/Configuration/ProfileBook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibModel/Profile.h>
+#include <LibModel/RouteTable.h>
 
 #include <string>
 #include <unordered_map>
@@ -16,10 +17,13 @@
     ProfileRevision revision;
 };
 
-// The profiles in force at this process. Only Configuration changes it; every part reads it.
+// The profiles in force at this process. Only Configuration and RouteBook change it; every part reads it.
 class ProfileBook {
 public:
-    // Gives the profile in force, or the built-in defaults if none of that name was ever accepted.
+    explicit ProfileBook(Profile defaults = {});
+
+    // Gives the profile in force. If none of that name was ever accepted, gives the defaults, with the published terms
+    // of the service of that name if there are any.
     const Profile& profile(const ProfileName&) const;
     // Gives revision 0 if the built-in defaults are in force.
     Revision revision(const ProfileName&) const;
@@ -28,9 +32,12 @@
     std::vector<const ProfileInForce*> all() const;
 
     void put(ProfileInForce);
+    // Takes what operators published of a service beside its routes.
+    void putTerms(const ServiceTerms&);
 
 private:
     std::unordered_map<ProfileName, ProfileInForce> m_profiles;
+    std::unordered_map<ProfileName, Profile> m_byTerms;
     Profile m_defaults;
 };
 
--- a/Libraries/LibDecision/Health/Health.cpp
+++ b/Libraries/LibDecision/Health/Health.cpp
@@ -1,5 +1,7 @@
 #include <LibDecision/Health/Health.h>
 
+#include <LibDecision/Calls/AttemptVerdict.h>
+
 #include <algorithm>
 #include <sstream>
 #include <tuple>
@@ -30,12 +32,9 @@
     constexpr double firstReturnShare = 0.1;
     constexpr double firstColdShare = 0.1;
     constexpr Duration probeTimeout = 1s;
-    constexpr uint16_t firstServerErrorStatus = 500;
     // Leaves room for this many reports of one sidecar incarnation.
     constexpr uint64_t reportsPerIncarnation = 4096;
 
-    bool isServerError(uint16_t status) { return status >= firstServerErrorStatus; }
-
     RequestEvidence evidenceOfRun(const RunReport& report)
     {
         switch (report.result) {
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <LibDecision/Attempt.h>
+#include <LibDecision/CallTerms.h>
 #include <LibDecision/Message.h>
 #include <LibDecision/PlatformOperation.h>
 #include <LibModel/Backend.h>
 #include <LibModel/Request.h>
 
+#include <optional>
+#include <string>
 #include <variant>
 
 // Everything that can happen to the core. Each input is handed in together with the instant at which it happened.
@@ -28,6 +31,10 @@
 struct CallArrived {
     CallId call;
     RequestInfo request;
+    // The request's host, by which its route is found.
+    std::string authority;
+    // What the request's route says of it; nothing if its profile decides.
+    std::optional<CallTerms> terms;
 };
 
 // The caller closed its connection.
--- a/Libraries/LibDecision/Membership/RecordSize.cpp
+++ b/Libraries/LibDecision/Membership/RecordSize.cpp
@@ -88,6 +88,21 @@
         return recordOverheadBytes + length(handover.service) + entries;
     }
 
+    size_t bodySize(const RouteTableRequest&) { return digitsOfNumber; }
+
+    size_t bodySize(const Route& route)
+    {
+        auto targets = std::transform_reduce(route.targets.begin(), route.targets.end(), size_t { 0 }, std::plus {}, [](const RouteTarget& target) { return length(target.service) + recordOverheadBytes; });
+        return recordOverheadBytes + jsonLength(route.name) + jsonLength(route.host) + jsonLength(route.pathPrefix) + targets;
+    }
+
+    size_t bodySize(const RouteTablePart& part)
+    {
+        const auto& routes = part.table.routes;
+        auto size = std::transform_reduce(routes.begin(), routes.end(), size_t { 0 }, std::plus {}, [](const Route& route) { return bodySize(route); });
+        return size + part.table.services.size() * recordOverheadBytes;
+    }
+
 }
 
 size_t jsonLength(std::string_view text)
--- a/Libraries/LibDecision/Message.h
+++ b/Libraries/LibDecision/Message.h
@@ -7,6 +7,7 @@
 #include <LibModel/Outcome.h>
 #include <LibModel/Profile.h>
 #include <LibModel/Request.h>
+#include <LibModel/RouteTable.h>
 
 #include <cstdint>
 #include <optional>
@@ -284,8 +285,25 @@
     bool operator==(const ClaimHandover&) const = default;
 };
 
+// Asks for the receiver's route table, because it mentioned a higher version than the known one.
+struct RouteTableRequest {
+    Revision known;
+
+    bool operator==(const RouteTableRequest&) const = default;
+};
+
+// A part of the sender's route table: some of its routes. The first part has the rest of the table as well.
+struct RouteTablePart {
+    // Counts from 0.
+    uint32_t number { 0 };
+    uint32_t count { 1 };
+    RouteTable table;
+
+    bool operator==(const RouteTablePart&) const = default;
+};
+
 using MessageBody = std::variant<Ping, Ack, IndirectPing, IndirectAck, Gossip, Join, SyncDigest, SyncRecords,
-    ClaimRequest, ClaimReply, ClaimOutcome, ClaimHandover>;
+    ClaimRequest, ClaimReply, ClaimOutcome, ClaimHandover, RouteTableRequest, RouteTablePart>;
 
 // A message with its sender. The sender's incarnation is authenticated by the shell before the core sees it.
 struct Message {
@@ -293,6 +311,8 @@
     Incarnation fromIncarnation;
     Endpoint fromControl;
     MessageBody body;
+    // Version of the sender's route table; 0 if it has none.
+    Revision routesVersion;
 
     bool operator==(const Message&) const = default;
 };
--- a/Libraries/LibDecision/Node.h
+++ b/Libraries/LibDecision/Node.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/Input.h>
 #include <LibDecision/Turn.h>
+#include <LibModel/Settings.h>
 
 #include <cstdint>
 #include <memory>
@@ -21,8 +22,14 @@
     uint64_t randomSeed { 0 };
     // Longest wait for requests in flight when the process leaves.
     Duration leaveTimeout { std::chrono::seconds(30) };
+    // A leaving process goes on taking callers' requests for this time, until callers know that it leaves.
+    Duration leaveNotice { 0 };
     // Calls that the process handles at once.
     uint32_t concurrentCalls { 4096 };
+    // How the service of a request is found.
+    RoutingMode routing { RoutingMode::ServiceHeader };
+    // In force for services that picked no published profile.
+    Profile defaultProfile;
 };
 
 // The whole decision core of one process, without any I/O: inputs and their instants go in, effects come out.
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <initializer_list>
+#include <iterator>
 
 namespace Decision {
 
@@ -15,8 +16,11 @@
 NodeState::NodeState(const NodeOptions& options)
     : m_random(options.randomSeed)
     , m_leaveTimeout(options.leaveTimeout)
+    , m_leaveNotice(options.leaveNotice)
+    , m_profiles(options.defaultProfile)
     , m_membership({ options.self, options.seeds })
     , m_configuration(options.self, m_membership, m_profiles)
+    , m_routes(options.routing, options.self, m_membership, m_profiles)
     , m_localBackends(options.self, m_profiles)
     , m_health(options.self, m_registry, m_profiles)
     , m_router(m_membership, m_registry, m_health, m_profiles)
@@ -32,6 +36,7 @@
     Turn turn(now, m_random, m_lastPlatformTag);
     m_membership.start(turn);
     m_configuration.start(turn);
+    m_routes.start(turn);
     m_claims.start(turn);
     m_orphanSweep.start(now);
     return settle(turn);
@@ -47,10 +52,10 @@
 std::optional<Instant> NodeState::nextTimer() const
 {
     std::optional<Instant> next;
-    for (auto candidate : { m_membership.nextTimer(), m_configuration.nextTimer(), m_localBackends.nextTimer(), m_health.nextTimer(),
+    for (auto candidate : { m_membership.nextTimer(), m_configuration.nextTimer(), m_routes.nextTimer(), m_localBackends.nextTimer(), m_health.nextTimer(),
              m_orphanSweep.nextTimer(), m_crashGuard.nextTimer(), m_claims.nextTimer(), m_admission.nextTimer(), m_calls.nextTimer() })
         next = earliest(next, candidate);
-    return earliest(next, m_leaveCheckAt);
+    return earliest(next, earliest(m_noticeEndsAt, m_leaveCheckAt));
 }
 
 EffectList NodeState::settle(Turn& turn)
@@ -83,6 +88,7 @@
     for (const auto& rumor : m_membership.receive(turn, received.message))
         std::visit([&](const auto& record) { learn(turn, record); }, rumor);
     m_claims.receive(turn, received.message);
+    m_routes.receive(turn, received.message);
 }
 
 void NodeState::receive(Turn& turn, const TimerFired&)
@@ -94,6 +100,7 @@
     };
     fire(m_membership);
     fire(m_configuration);
+    fire(m_routes);
     fire(m_localBackends);
     fire(m_health);
     fire(m_crashGuard);
@@ -117,7 +124,34 @@
 }
 
 void NodeState::receive(Turn& turn, const SendFailed& failed) { m_membership.sendFailed(turn, failed.to); }
-void NodeState::receive(Turn& turn, const CallArrived& arrived) { m_calls.arrive(turn, arrived); }
+void NodeState::receive(Turn& turn, const CallArrived& arrived)
+{
+    if (!m_routes.isUsed()) {
+        m_calls.arrive(turn, arrived);
+        return;
+    }
+    auto routed = arrived;
+    if (auto reason = applyRoute(turn, routed))
+        m_calls.refuse(turn, arrived, *reason);
+    else
+        m_calls.arrive(turn, routed);
+}
+
+std::optional<Reason> NodeState::applyRoute(Turn& turn, CallArrived& arrived) const
+{
+    if (!m_routes.table())
+        return Reason::NotConfigured;
+    const auto* route = m_routes.find(arrived.authority, arrived.request.path);
+    if (!route)
+        return Reason::NoRoute;
+    std::vector<double> weights;
+    std::ranges::transform(route->targets, std::back_inserter(weights), &RouteTarget::weight);
+    auto target = std::discrete_distribution<size_t>(weights.begin(), weights.end())(turn.random());
+    arrived.request.service = route->targets[target].service;
+    arrived.terms = CallTerms { route->isIdempotent, route->timeout, route->latencyObjective, route->priority, route->maximumAttempts };
+    return std::nullopt;
+}
+
 void NodeState::receive(Turn& turn, const CallerGone& gone) { m_calls.callerGone(turn, gone.call); }
 void NodeState::receive(Turn& turn, const AttemptFinished& finished)
 {
@@ -154,6 +188,8 @@
 
 void NodeState::receive(Turn& turn, const PlatformReplied& replied)
 {
+    if (m_routes.handleReply(turn, replied.reply))
+        return;
     if (!m_configuration.handleReply(turn, replied.reply)) {
         m_claims.handleReply(turn, replied.reply);
         return;
@@ -169,7 +205,8 @@
         return;
     m_leavingSince = turn.now();
     m_leaveCheckAt = turn.now() + std::min(Duration(shortestLeave), m_leaveTimeout);
-    m_calls.leave(turn);
+    m_noticeEndsAt = turn.now() + std::min(m_leaveNotice, m_leaveTimeout);
+    endNotice(turn);
     m_admission.leave(turn);
     m_localBackends.drainAll(turn);
     m_claims.leave(turn);
@@ -199,14 +236,23 @@
 void NodeState::learn(Turn& turn, const ClaimHolder& holder) { m_claims.apply(turn, holder); }
 void NodeState::learn(Turn& turn, const ProfileRevision& revision) { m_configuration.apply(turn, revision); }
 
+void NodeState::endNotice(Turn& turn)
+{
+    if (!m_noticeEndsAt || turn.now() < *m_noticeEndsAt)
+        return;
+    m_noticeEndsAt.reset();
+    m_calls.leave(turn);
+}
+
 void NodeState::leaveIfDone(Turn& turn)
 {
     if (!m_leavingSince || m_hasLeft)
         return;
+    endNotice(turn);
     auto since = turn.now() - *m_leavingSince;
     bool isIdle = m_calls.inFlight() == 0 && m_admission.inFlight() == 0 && m_claims.isIdle();
     bool isTimedOut = since >= m_leaveTimeout;
-    if (!isTimedOut && (!isIdle || since < shortestLeave)) {
+    if (!isTimedOut && (!isIdle || m_noticeEndsAt || since < shortestLeave)) {
         if (turn.now() >= *m_leaveCheckAt)
             m_leaveCheckAt = *m_leavingSince + m_leaveTimeout;
         return;
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -5,6 +5,7 @@
 #include <LibDecision/Calls/CallTable.h>
 #include <LibDecision/Claims/Claims.h>
 #include <LibDecision/Configuration/Configuration.h>
+#include <LibDecision/Configuration/RouteBook.h>
 #include <LibDecision/Health/Health.h>
 #include <LibDecision/Membership/Membership.h>
 #include <LibDecision/Node.h>
@@ -37,6 +38,7 @@
     const Membership& membership() const { return m_membership; }
     const ProfileBook& profiles() const { return m_profiles; }
     const Configuration& configuration() const { return m_configuration; }
+    const RouteBook& routes() const { return m_routes; }
     const BackendRegistry& registry() const { return m_registry; }
     const LocalBackends& localBackends() const { return m_localBackends; }
     const Health& health() const { return m_health; }
@@ -49,6 +51,8 @@
     void receive(Turn&, const TimerFired&);
     void receive(Turn&, const SendFailed&);
     void receive(Turn&, const CallArrived&);
+    // Finds the request's service and terms by the route table. Gives the reason if there is none.
+    std::optional<Reason> applyRoute(Turn&, CallArrived&) const;
     void receive(Turn&, const CallerGone&);
     void receive(Turn&, const AttemptFinished&);
     void receive(Turn&, const SidecarCallArrived&);
@@ -73,13 +77,17 @@
     // Carries what the parts produced to the other parts until nothing is left.
     EffectList settle(Turn&);
     void leaveIfDone(Turn&);
+    // Stops taking callers' requests once the notice is over.
+    void endNotice(Turn&);
 
     std::mt19937_64 m_random;
     PlatformTag m_lastPlatformTag;
     Duration m_leaveTimeout;
+    Duration m_leaveNotice;
     ProfileBook m_profiles;
     Membership m_membership;
     Configuration m_configuration;
+    RouteBook m_routes;
     BackendRegistry m_registry;
     LocalBackends m_localBackends;
     Health m_health;
@@ -90,6 +98,7 @@
     NodeAdmission m_admission;
     NodeCalls m_calls;
     std::optional<Instant> m_leavingSince;
+    std::optional<Instant> m_noticeEndsAt;
     // When the core looks again whether it may leave.
     std::optional<Instant> m_leaveCheckAt;
     bool m_hasLeft { false };
--- a/Libraries/LibDecision/PlatformOperation.h
+++ b/Libraries/LibDecision/PlatformOperation.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <LibModel/RouteTable.h>
 #include <LibModel/StrongTypes.h>
 #include <LibModel/Time.h>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,6 +45,16 @@
     Duration wait { std::chrono::seconds(55) };
 };
 
+// Where operators publish the route table, if the store is the product's own.
+constexpr std::string_view routesKey = "routes/table";
+
+// Waits until the route table changes from the index, or the wait ends; then gives it if it changed.
+struct WatchRoutes {
+    // Index of an earlier reply; 0 gives an answer at once.
+    uint64_t index { 0 };
+    Duration wait { std::chrono::seconds(25) };
+};
+
 // Writes if the key's version is still the expected one.
 struct CompareAndSwap {
     std::string key;
@@ -77,7 +89,7 @@
     PlatformLease lease;
 };
 
-using PlatformOperation = std::variant<ReadPrefix, WatchPrefix, CompareAndSwap, GrantLease, RenewLease, RevokeLease, AcquireKey, ReleaseKey>;
+using PlatformOperation = std::variant<ReadPrefix, WatchPrefix, WatchRoutes, CompareAndSwap, GrantLease, RenewLease, RevokeLease, AcquireKey, ReleaseKey>;
 
 enum class PlatformStatus {
     Done,
@@ -91,8 +103,12 @@
     PlatformTag tag;
     PlatformStatus status { PlatformStatus::NoAnswer };
     std::vector<KeyValue> values;
-    // For the next WatchPrefix.
+    // For the next WatchPrefix or WatchRoutes.
     uint64_t index { 0 };
+    // What WatchRoutes brought; empty if nothing is new or nothing was published.
+    std::shared_ptr<const RouteTable> routes;
+    // Why the route table that was published can't be used; empty if it can.
+    std::string problem;
     PlatformLease lease;
 };
 
--- a/Libraries/LibModel/Backend.h
+++ b/Libraries/LibModel/Backend.h
@@ -39,6 +39,8 @@
     // Share of work against other backend servers of the service.
     double weight { 1.0 };
     BackendPhase phase { BackendPhase::Serving };
+    // Grows with each announcement of one incarnation; 0 if the backend server doesn't number them.
+    uint64_t sequence { 0 };
 };
 
 }
--- a/Libraries/LibModel/Outcome.h
+++ b/Libraries/LibModel/Outcome.h
@@ -27,6 +27,8 @@
 enum class Reason {
     None,
     NoSuchService,
+    NoRoute,
+    NotConfigured,
     NoBackend,
     BodyTooLarge,
     BadRequest,
@@ -60,6 +62,8 @@
     static constexpr std::array entries {
         EnumName { Reason::None, "none" },
         EnumName { Reason::NoSuchService, "no-such-service" },
+        EnumName { Reason::NoRoute, "no-route" },
+        EnumName { Reason::NotConfigured, "not-configured" },
         EnumName { Reason::NoBackend, "no-backend" },
         EnumName { Reason::BodyTooLarge, "body-too-large" },
         EnumName { Reason::BadRequest, "bad-request" },
--- a/Libraries/LibModel/Profile.cpp
+++ b/Libraries/LibModel/Profile.cpp
@@ -1,6 +1,7 @@
 #include <LibModel/Profile.h>
 
 #include <LibModel/NumberText.h>
+#include <LibModel/ProfileReader.h>
 #include <LibModel/YamlReader.h>
 
 namespace Model {
@@ -188,13 +189,9 @@
     return isIdempotentByStandard(method);
 }
 
-Profile parseProfile(std::string_view document, const std::string& fileName)
+static Profile readPolicies(YamlReader& reader)
 {
-    auto reader = YamlReader::parse(document, fileName);
     Profile profile;
-    constexpr uint64_t schemaVersion = 1;
-    reader.wholeNumber("schema", schemaVersion, schemaVersion, schemaVersion);
-    profile.name = ProfileName(reader.string("name"));
     profile.health = readHealth(reader.mapping("health"));
     profile.capacity = readCapacity(reader.mapping("capacity"));
     profile.deadlines = readDeadlines(reader.mapping("deadlines"));
@@ -204,6 +201,24 @@
     profile.placement = readPlacement(reader.mapping("placement"));
     profile.lifecycle = readLifecycle(reader.mapping("lifecycle"));
     profile.crash = readCrash(reader.mapping("crash"));
+    return profile;
+}
+
+Profile readProfilePolicies(YamlReader reader)
+{
+    auto profile = readPolicies(reader);
+    reader.finish();
+    return profile;
+}
+
+Profile parseProfile(std::string_view document, const std::string& fileName)
+{
+    auto reader = YamlReader::parse(document, fileName);
+    constexpr uint64_t schemaVersion = 1;
+    reader.wholeNumber("schema", schemaVersion, schemaVersion, schemaVersion);
+    auto name = ProfileName(reader.string("name"));
+    auto profile = readPolicies(reader);
+    profile.name = std::move(name);
     reader.finish();
     return profile;
 }
--- /dev/null
+++ b/Libraries/LibModel/RouteTable.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <LibModel/Identifiers.h>
+#include <LibModel/Time.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Model {
+
+using namespace std::chrono_literals;
+
+// One service that a route sends requests to, and its part of them.
+struct RouteTarget {
+    ServiceName service;
+    // Relative to the other targets of the route; above zero.
+    double weight { 1 };
+
+    bool operator==(const RouteTarget&) const = default;
+};
+
+// How the requests of one host below one path are treated.
+struct Route {
+    std::string name;
+    // Host without a port, in lower case.
+    std::string host;
+    // Beginning of the path; begins and ends with a slash.
+    std::string pathPrefix;
+    // One or more; the weights say how requests are split.
+    std::vector<RouteTarget> targets;
+    // Whether a request may run more than once.
+    bool isIdempotent { false };
+    // A request is answered within this time, whatever deadline the caller gave.
+    Duration timeout { 30s };
+    // A later answer is worth less to the caller.
+    Duration latencyObjective { 1s };
+    // 0 goes first.
+    uint32_t priority { 0 };
+    // Backend servers that one request may be sent to.
+    uint32_t maximumAttempts { 1 };
+
+    bool operator==(const Route&) const = default;
+};
+
+// What operators say of one service.
+struct ServiceTerms {
+    ServiceName name;
+    // Path of the health check; empty if there is none.
+    std::string healthPath;
+    // Connections that a backend server takes from all processes.
+    uint32_t maximumConnections { 1 };
+
+    bool operator==(const ServiceTerms&) const = default;
+};
+
+// What callers may send, and how long they may take.
+struct CallerLimits {
+    uint64_t headerBytes { 16u << 10 };
+    uint64_t bodyBytes { 1u << 20 };
+    Duration headerTimeout { 10s };
+    Duration idleTimeout { 75s };
+
+    bool operator==(const CallerLimits&) const = default;
+};
+
+// All routes as operators published them at once. A higher version replaces a lower one as a whole.
+struct RouteTable {
+    // 0 means that none was published yet.
+    Revision version;
+    std::vector<Route> routes;
+    std::vector<ServiceTerms> services;
+    CallerLimits limits;
+
+    bool operator==(const RouteTable&) const = default;
+};
+
+// Checks what the types don't: names, paths, weights and figures in range, targets that are listed as services,
+// and no two routes for one host and path. Throws Error whose step is "check-routes" and whose peer is the source.
+void checkRouteTable(const RouteTable&, const std::string& source);
+
+// Finds the route of a request. Built once for each table in force.
+class RouteIndex {
+public:
+    RouteIndex() = default;
+    // Refers to the table's routes, so the table must outlive the index.
+    explicit RouteIndex(const RouteTable&);
+
+    // Gives the host's route with the longest prefix of the path; nothing if none matches. The authority may carry
+    // a port, and the target a query.
+    const Route* find(std::string_view authority, std::string_view target) const;
+
+private:
+    struct HostRoutes {
+        std::unordered_map<std::string_view, const Route*> byPrefix;
+    };
+
+    std::unordered_map<std::string, HostRoutes> m_hosts;
+};
+
+}
--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -1,5 +1,6 @@
 #include <LibModel/Settings.h>
 
+#include <LibModel/ProfileReader.h>
 #include <LibModel/YamlReader.h>
 
 namespace Model {
@@ -38,6 +39,27 @@
         return settings;
     }
 
+    EdgeSettings readEdge(YamlReader reader)
+    {
+        EdgeSettings settings;
+        settings.requestId = reader.stringOr("request-id", settings.requestId);
+        settings.hasCallerRequestIds = reader.boolean("caller-request-ids", settings.hasCallerRequestIds);
+        settings.deadline = reader.stringOr("deadline", settings.deadline);
+        settings.expectedBackend = reader.stringOr("expected-backend", settings.expectedBackend);
+        settings.callerService = reader.stringOr("caller-service", settings.callerService);
+        settings.notRun = reader.stringOr("not-run", settings.notRun);
+        settings.notRunValue = reader.stringOr("not-run-value", settings.notRunValue);
+        settings.answerProof = reader.stringOr("answer-proof", settings.answerProof);
+        settings.backendId = reader.stringOr("backend-id", settings.backendId);
+        settings.statuses = reader.enumeration<StatusScheme>("statuses", settings.statuses);
+        for (const auto* name : { &settings.requestId, &settings.deadline, &settings.notRun }) {
+            if (name->empty())
+                reader.fail("request-id, deadline or not-run", "empty", "a header's name");
+        }
+        reader.finish();
+        return settings;
+    }
+
 }
 
 Settings parseSettings(std::string_view document, const std::string& fileName)
@@ -51,10 +73,18 @@
     settings.control = reader.endpoint("control");
     if (settings.callers == settings.control)
         reader.fail("control", "the same as callers", "an endpoint of its own");
+    settings.announcements = reader.endpointOr("announcements", std::nullopt);
+    settings.readiness = reader.endpointOr("readiness", std::nullopt);
+    settings.service = ServiceName(reader.stringOr("service", ""));
+    settings.backend = reader.endpointOr("backend", std::nullopt);
     settings.peers = reader.endpoints("peers");
     settings.platform = reader.endpoints("platform");
     if (settings.platform.empty())
         reader.fail("platform", "missing or empty", "one endpoint or more");
+    settings.platformApi = reader.enumeration<PlatformApi>("platform-api", settings.platformApi);
+    settings.routing = reader.enumeration<RoutingMode>("routing", settings.routing);
+    settings.edge = readEdge(reader.mapping("edge"));
+    settings.defaultProfile = readProfilePolicies(reader.mapping("default-profile"));
     settings.fleetKey = reader.secret("fleet-key");
     settings.operatorKey = reader.secret("operator-key");
     if (settings.fleetKey == settings.operatorKey)
@@ -63,6 +93,7 @@
     settings.trace = readTrace(reader.mapping("trace"));
     settings.limits = readLimits(reader.mapping("limits"));
     settings.leaveTimeout = reader.duration("leave-timeout", 0s, 1h, settings.leaveTimeout);
+    settings.leaveNotice = reader.duration("leave-notice", 0s, settings.leaveTimeout, settings.leaveNotice);
     reader.finish();
     return settings;
 }
--- a/Libraries/LibModel/YamlReader.cpp
+++ b/Libraries/LibModel/YamlReader.cpp
@@ -154,6 +154,11 @@
     return *endpoint;
 }
 
+std::optional<Endpoint> YamlReader::endpointOr(const std::string& key, std::optional<Endpoint> fallback)
+{
+    return find(key) ? endpoint(key) : fallback;
+}
+
 std::vector<std::string> YamlReader::strings(const std::string& key)
 {
     auto node = find(key);
--- a/Libraries/LibModel/YamlReader.h
+++ b/Libraries/LibModel/YamlReader.h
@@ -40,6 +40,7 @@
     // Reads "250ms", "2s", "5min", "1h" or "40us".
     Duration duration(const std::string& key, Duration minimum, Duration maximum, Duration fallback);
     Endpoint endpoint(const std::string& key);
+    std::optional<Endpoint> endpointOr(const std::string& key, std::optional<Endpoint> fallback);
     std::vector<Endpoint> endpoints(const std::string& key);
     // The mapping below the key; an empty one if it is missing.
     YamlReader mapping(const std::string& key);
--- a/Libraries/LibPlatform/ConsulReply.cpp
+++ b/Libraries/LibPlatform/ConsulReply.cpp
@@ -1,10 +1,13 @@
 #include <LibPlatform/ConsulReply.h>
 
+#include <LibControl/RouteTableCodec.h>
+#include <LibModel/Error.h>
+#include <LibPlatform/Base64.h>
+
 #include <charconv>
 #include <json/reader.h>
 #include <json/value.h>
 #include <memory>
-#include <openssl/evp.h>
 #include <optional>
 
 namespace Platform {
@@ -26,20 +29,6 @@
     return value;
 }
 
-static std::optional<std::string> decodeBase64(const std::string& text)
-{
-    if (text.size() % 4 != 0)
-        return std::nullopt;
-    std::string bytes(text.size() / 4 * 3, '\0');
-    auto length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-    if (length < 0)
-        return std::nullopt;
-    // The library counts the padding as bytes.
-    auto padding = text.ends_with("==") ? 2 : (text.ends_with("=") ? 1 : 0);
-    bytes.resize(length - padding);
-    return bytes;
-}
-
 static std::optional<KeyValue> readKeyValue(const Json::Value& entry)
 {
     bool isUsable = entry.isObject() && entry["Key"].isString() && entry["ModifyIndex"].isUInt64() && (entry["Value"].isString() || entry["Value"].isNull());
@@ -88,6 +77,20 @@
     return { .status = PlatformStatus::Done, .values = std::move(*values), .index = *index };
 }
 
+static PlatformReply readRoutesReply(const HttpResponse& response)
+{
+    auto reply = readListingReply(response);
+    if (reply.values.empty())
+        return reply;
+    try {
+        reply.routes = std::make_shared<const RouteTable>(Control::decodeRouteTable(reply.values.front().value));
+    } catch (const Model::Error& error) {
+        reply.problem = error.what();
+    }
+    reply.values.clear();
+    return reply;
+}
+
 static PlatformStatus statusOf(const HttpResponse& response)
 {
     if (response.status == ok)
@@ -125,6 +128,8 @@
 {
     if (std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchPrefix>(operation))
         return readListingReply(response);
+    if (std::holds_alternative<WatchRoutes>(operation))
+        return readRoutesReply(response);
     if (std::holds_alternative<GrantLease>(operation))
         return readGrantReply(response);
     if (std::holds_alternative<RenewLease>(operation))
--- a/Libraries/LibPlatform/ConsulRequest.cpp
+++ b/Libraries/LibPlatform/ConsulRequest.cpp
@@ -1,33 +1,15 @@
 #include <LibPlatform/ConsulRequest.h>
 
+#include <LibPlatform/PercentEncoding.h>
+
 #include <json/value.h>
 #include <json/writer.h>
 
-#include <array>
-#include <cctype>
-#include <cstdio>
-#include <string_view>
 
 namespace Platform {
 
 using Transport::HttpRequest;
 
-static std::string percentEncoded(std::string_view text)
-{
-    static constexpr std::string_view unescaped = "-._~/";
-    std::string result;
-    for (unsigned char byte : text) {
-        if (std::isalnum(byte) || unescaped.find(static_cast<char>(byte)) != std::string_view::npos) {
-            result += static_cast<char>(byte);
-            continue;
-        }
-        std::array<char, 4> escaped {};
-        snprintf(escaped.data(), escaped.size(), "%%%02X", byte);
-        result += escaped.data();
-    }
-    return result;
-}
-
 static std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::ceil<std::chrono::milliseconds>(duration).count()) + "ms";
@@ -51,6 +33,11 @@
     return request("GET", keyTarget(watch.prefix, "recurse&index=" + std::to_string(watch.index) + "&wait=" + milliseconds(watch.wait)));
 }
 
+static HttpRequest format(const WatchRoutes& watch)
+{
+    return request("GET", keyTarget(std::string(routesKey), "recurse&index=" + std::to_string(watch.index) + "&wait=" + milliseconds(watch.wait)));
+}
+
 static HttpRequest format(const CompareAndSwap& swap)
 {
     return request("PUT", keyTarget(swap.key, "cas=" + std::to_string(swap.expected.value())), swap.value);
@@ -90,14 +77,20 @@
 
 bool isRead(const PlatformOperation& operation)
 {
-    return std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchPrefix>(operation);
+    return std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchPrefix>(operation) || std::holds_alternative<WatchRoutes>(operation);
 }
 
 Duration expectedWait(const PlatformOperation& operation)
 {
-    const auto* watch = std::get_if<WatchPrefix>(&operation);
-    // The service lengthens a wait by up to a sixteenth, so that watches don't all end at once.
-    return watch && watch->index != 0 ? watch->wait + watch->wait / 16 : Duration(0);
+    return std::visit([](const auto& specific) {
+        if constexpr (requires { specific.wait; }) {
+            // The service lengthens a wait by up to a sixteenth, so that watches don't all end at once.
+            return specific.index != 0 ? specific.wait + specific.wait / 16 : Duration(0);
+        } else {
+            return Duration(0);
+        }
+    },
+        operation);
 }
 
 }
--- a/Libraries/LibTelemetry/JsonLinesSpan.cpp
+++ b/Libraries/LibTelemetry/JsonLinesSpan.cpp
@@ -82,15 +82,28 @@
 
 std::string JsonLinesSpan::format(int64_t durationMicroseconds) const
 {
-    auto line = "{\"trace\":" + quoteJson(m_context.ToTraceID()) + ",\"span\":" + quoteJson(m_context.ToSpanID());
+    std::string line = "{";
+    // Names of fields need no escapes; values come written as JSON.
+    auto field = [&line](std::string_view name, std::string_view value) {
+        line.append(line.size() == 1 ? "\"" : ",\"");
+        line.append(name);
+        line.append("\":");
+        line.append(value);
+    };
+    field("trace", quoteJson(m_context.ToTraceID()));
+    field("span", quoteJson(m_context.ToSpanID()));
     if (m_parentSpan)
-        line += ",\"parent\":" + quoteJson(TraceContext(0, 0, m_parentSpan, false).ToSpanID());
-    line += ",\"name\":" + quoteJson(m_name) + ",\"instance\":" + quoteJson(m_tracer.m_options.instance);
-    line += ",\"startMicroseconds\":" + std::to_string(microseconds(m_startedAt.time_since_epoch()));
-    line += ",\"durationMicroseconds\":" + std::to_string(durationMicroseconds);
-    for (const auto& tag : m_tags)
-        line += "," + quoteJson(tag.key) + ":" + tag.value;
-    return line + "}";
+        field("parent", quoteJson(TraceContext(0, 0, m_parentSpan, false).ToSpanID()));
+    field("name", quoteJson(m_name));
+    field("instance", quoteJson(m_tracer.m_options.instance));
+    field("startMicroseconds", std::to_string(microseconds(m_startedAt.time_since_epoch())));
+    field("durationMicroseconds", std::to_string(durationMicroseconds));
+    for (const auto& tag : m_tags) {
+        auto key = quoteJson(tag.key);
+        field(std::string_view(key).substr(1, key.size() - 2), tag.value);
+    }
+    line.push_back('}');
+    return line;
 }
 
 }
--- a/Libraries/LibTelemetry/LogRecord.cpp
+++ b/Libraries/LibTelemetry/LogRecord.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <initializer_list>
 
 namespace Telemetry {
 
@@ -15,26 +16,33 @@
         });
     }
 
+    // Lines are built by appending, which also keeps clear of a false warning of GCC 12 about concatenated texts.
+    void append(std::string& line, std::initializer_list<std::string_view> parts)
+    {
+        std::ranges::for_each(parts, [&line](std::string_view part) { line.append(part); });
+    }
+
     std::string formatKeyValue(const LogRecord& record)
     {
-        auto line = "level=" + std::string(nameOf(record.level)) + " event=" + std::string(record.event);
+        std::string line;
+        append(line, { "level=", nameOf(record.level), " event=", record.event });
         for (const auto& field : record.fields) {
-            if (field.value.empty())
-                continue;
-            line += " " + std::string(field.name) + "=";
-            line += needsQuotes(field.value) ? quoteJson(field.value) : field.value;
+            if (!field.value.empty())
+                append(line, { " ", field.name, "=", needsQuotes(field.value) ? quoteJson(field.value) : field.value });
         }
         return line;
     }
 
     std::string formatJsonRecord(const LogRecord& record)
     {
-        auto line = "{\"level\":" + quoteJson(nameOf(record.level)) + ",\"event\":" + quoteJson(record.event);
+        std::string line;
+        append(line, { "{\"level\":", quoteJson(nameOf(record.level)), ",\"event\":", quoteJson(record.event) });
         for (const auto& field : record.fields) {
             if (!field.value.empty())
-                line += "," + quoteJson(field.name) + ":" + quoteJson(field.value);
+                append(line, { ",", quoteJson(field.name), ":", quoteJson(field.value) });
         }
-        return line + "}";
+        line.push_back('}');
+        return line;
     }
 
 }
@@ -54,7 +62,8 @@
             quoted += character;
         }
     }
-    return quoted + "\"";
+    quoted.push_back('"');
+    return quoted;
 }
 
 std::string formatRecord(const LogRecord& record, LogFormat format)
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -347,7 +347,7 @@
     if (!pending)
         return;
     // The library itself says so on HTTP/2 only.
-    if (context.shutdown_requested)
+    if (context.shutdown_requested || closesAfterAnswers)
         pending->request->http1_is_persistent = 0;
     writeResponse(*pending->request, std::move(response), pending->anchor->body);
 }
@@ -418,6 +418,8 @@
 
 size_t HttpServer::openRequests() const { return m_implementation->requests.size(); }
 
+void HttpServer::closeAfterAnswers() { m_implementation->closesAfterAnswers = true; }
+
 void HttpServer::stopAccepting() { m_implementation->stopAccepting(); }
 
 }
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -45,6 +45,9 @@
     Endpoint endpoint() const;
     size_t openRequests() const;
 
+    // Goes on taking connections, but ends each one after its next answer.
+    void closeAfterAnswers();
+
     // Takes no new connection, and lets each connection end after its current request.
     void stopAccepting();
 
--- a/Libraries/LibTransport/HttpServerImplementation.h
+++ b/Libraries/LibTransport/HttpServerImplementation.h
@@ -68,6 +68,7 @@
     std::unordered_map<ServerRequestId, PendingRequest> requests;
     std::unordered_set<ServerConnection*> connections;
     ServerRequestId lastId { 0 };
+    bool closesAfterAnswers { false };
     // False once the HttpServer is gone: its callbacks are no longer called.
     bool hasOwner { true };
 
--- a/Services/fulmard/ClientOutcome.cpp
+++ b/Services/fulmard/ClientOutcome.cpp
@@ -26,6 +26,12 @@
         StatusTranslation { ClientStatus::Silent, AttemptResult::Silent, Reason::NoProgress },
     };
 
+    // https://www.rfc-editor.org/rfc/rfc9110#section-15
+    constexpr uint16_t firstSuccess = 200;
+    constexpr uint16_t firstRedirection = 300;
+    constexpr uint16_t requestTimeout = 408;
+    constexpr uint16_t misdirectedRequest = 421;
+    constexpr uint16_t tooManyRequests = 429;
     constexpr uint16_t serviceUnavailable = 503;
 
     const StatusTranslation& translate(ClientStatus status)
@@ -33,10 +39,23 @@
         return *std::ranges::find(translations, status, &StatusTranslation::status);
     }
 
-    bool isShed(const Transport::HttpResponse& response)
+    bool saysNotRun(const Transport::HttpResponse& response, const EdgeSettings& edge)
     {
-        auto outcome = Transport::findHeader(response.headers, HeaderName::outcome);
-        return response.status == serviceUnavailable && outcome == nameOf(Outcome::NotRun);
+        auto mark = Transport::findHeader(response.headers, edge.notRun);
+        return mark && (edge.notRunValue.empty() || *mark == edge.notRunValue);
+    }
+
+    // Callers who go by promises take these statuses for "not run", so a backend server's own ones can't be passed on.
+    bool wouldPromise(uint16_t status, const EdgeSettings& edge)
+    {
+        constexpr std::array promises { requestTimeout, tooManyRequests, serviceUnavailable };
+        return edge.statuses == StatusScheme::ByPromise && std::ranges::find(promises, status) != promises.end();
+    }
+
+    bool lacksProof(const Transport::HttpResponse& response, const EdgeSettings& edge)
+    {
+        bool isGood = response.status >= firstSuccess && response.status < firstRedirection;
+        return isGood && !edge.answerProof.empty() && !Transport::findHeader(response.headers, edge.answerProof);
     }
 
 }
@@ -46,7 +65,7 @@
     return translate(status).result;
 }
 
-Decision::RunReport runReportOf(const Transport::ClientResult& result)
+Decision::RunReport runReportOf(const Transport::ClientResult& result, const EdgeSettings& edge)
 {
     Decision::RunReport report;
     report.result = translate(result.status).result;
@@ -57,9 +76,18 @@
         return report;
 
     report.status = result.response.status;
-    if (isShed(result.response)) {
+    if (report.status == misdirectedRequest) {
+        report.result = AttemptResult::RefusedNotRun;
+        report.reason = Reason::StaleIncarnation;
+    } else if (saysNotRun(result.response, edge)) {
         report.result = AttemptResult::RefusedNotRun;
         report.reason = Reason::BackendShedding;
+    } else if (lacksProof(result.response, edge)) {
+        report.result = AttemptResult::Malformed;
+        report.reason = Reason::AnswerMalformed;
+    } else if (wouldPromise(report.status, edge)) {
+        report.result = AttemptResult::PeerUnknown;
+        report.reason = Reason::AnswerMalformed;
     }
     return report;
 }
--- a/Services/fulmard/ClientOutcome.h
+++ b/Services/fulmard/ClientOutcome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/Attempt.h>
+#include <LibModel/Settings.h>
 #include <LibTransport/HttpClient.h>
 
 namespace Fulmard {
@@ -8,8 +9,8 @@
 // Gives the core's name for how an exchange with another party ended.
 Decision::AttemptResult attemptResultOf(Transport::ClientStatus);
 
-// Gives what the core learns from a backend server's answer. A 503 whose header `fulmar-outcome` says "not-run"
-// counts as a refusal before the request was run.
-Decision::RunReport runReportOf(const Transport::ClientResult&);
+// Gives what the core learns from a backend server's answer. An answer with the edge's mark that the request wasn't run
+// is a refusal, and a good answer without the edge's proof is malformed.
+Decision::RunReport runReportOf(const Transport::ClientResult&, const Model::EdgeSettings&);
 
 }
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -1,7 +1,6 @@
 #include <Services/fulmard/Daemon.h>
 
 #include <LibDecision/NodeState.h>
-#include <Services/fulmard/BackendApi.h>
 #include <Services/fulmard/ClientOutcome.h>
 
 #include <algorithm>
@@ -13,6 +12,7 @@
 
     constexpr auto messagePath = "/v1/message";
     constexpr auto metricsPath = "/metrics";
+    constexpr auto readinessPath = "/v1/ready";
     constexpr std::string_view backendsPath = "/v1/backends/";
     constexpr auto signatureHeader = "fulmar-signature";
     constexpr auto runHeader = "fulmar-run";
@@ -27,6 +27,14 @@
         return { status, { { "content-type", "text/plain; charset=utf-8" } }, text + "\n" };
     }
 
+    // The answer to a health check proves nothing beyond its status.
+    Decision::RunReport probeReportOf(const Transport::ClientResult& result)
+    {
+        EdgeSettings edge;
+        edge.answerProof.clear();
+        return runReportOf(result, edge);
+    }
+
 }
 
 Daemon::Daemon(Transport::EventLoop& loop, DaemonOptions options)
@@ -36,15 +44,16 @@
     , m_callersServer(loop, callersOptions())
     , m_controlServer(loop, controlOptions())
     , m_client(loop)
-    , m_store(loop, { m_options.settings.platform })
+    , m_store(m_options.platform.openStore(loop))
     , m_channel(m_options.settings.fleetKey, m_options.settings.instance, m_options.start, m_controlServer.endpoint())
     , m_orders(m_options.settings.fleetKey, m_options.settings.instance, m_options.start, m_controlServer.endpoint())
-    , m_reader(m_options.randomSeed)
-    , m_sidecarCalls(m_client, m_observability, m_options.settings.instance, m_options.settings.limits.answerBodyBytes, [this](Decision::Input input) { m_driver.handle(std::move(input)); })
+    , m_reader(m_options.randomSeed, m_options.settings.edge)
+    , m_sidecarCalls(m_client, m_observability, m_options.settings.instance, m_options.settings.limits, m_options.settings.edge, [this](Decision::Input input) { m_driver.handle(std::move(input)); })
     , m_ingressCalls(ingressParties())
     , m_driver(loop, nodeOptions(), [this](const Decision::Effect& effect) { carryOut(effect); })
     , m_operatorApi(m_options.settings.operatorKey, m_driver, m_observability.journal(), [this] { return m_loop.now(); })
 {
+    openSideServers();
 }
 
 Transport::HttpServerOptions Daemon::callersOptions()
@@ -56,7 +65,7 @@
     options.onRequestGone = [this](Transport::ServerRequestId id) { m_ingressCalls.callerGone(id); };
     options.onBodyTooLarge = [this] {
         auto limit = std::to_string(m_options.settings.limits.requestBodyBytes) + " bytes are allowed";
-        return makeProblemResponse({ Outcome::NotRun, Reason::BodyTooLarge, "read-request", limit, Duration::zero(), "" });
+        return makeProblemResponse({ Outcome::NotRun, Reason::BodyTooLarge, "read-request", limit, Duration::zero(), "" }, m_options.settings.edge.statuses);
     };
     return options;
 }
@@ -71,6 +80,21 @@
     return options;
 }
 
+void Daemon::openSideServers()
+{
+    for (const auto& endpoint : { m_options.settings.announcements, m_options.settings.readiness }) {
+        if (!endpoint)
+            continue;
+        auto index = m_sideServers.size();
+        Transport::HttpServerOptions options;
+        options.listen = *endpoint;
+        options.onRequest = [this, index](Transport::ServerRequestId id, const Transport::HttpRequest& request) {
+            m_sideServers[index]->respond(id, answerSide(request));
+        };
+        m_sideServers.push_back(std::make_unique<Transport::HttpServer>(m_loop, std::move(options)));
+    }
+}
+
 Decision::NodeOptions Daemon::nodeOptions() const
 {
     const auto& settings = m_options.settings;
@@ -84,7 +108,10 @@
     options.seeds = settings.peers;
     options.randomSeed = m_options.randomSeed;
     options.leaveTimeout = settings.leaveTimeout;
+    options.leaveNotice = settings.leaveNotice;
     options.concurrentCalls = settings.limits.concurrentCalls;
+    options.routing = settings.routing;
+    options.defaultProfile = settings.defaultProfile;
     return options;
 }
 
@@ -101,6 +128,8 @@
         [this] { return m_loop.now(); },
         m_observability,
         m_options.settings.limits.answerBodyBytes,
+        m_options.settings.edge,
+        m_options.settings.service,
     };
 }
 
@@ -111,6 +140,7 @@
 
 void Daemon::leave()
 {
+    m_callersServer.closeAfterAnswers();
     m_driver.handle(Decision::LeaveRequested {});
 }
 
@@ -128,7 +158,9 @@
     else if (request.method == "POST" && request.target == messagePath)
         handleMessage(id, request);
     else if (request.target.starts_with(backendsPath))
-        handleAnnouncement(id, request);
+        m_controlServer.respond(id, answerAnnouncement(request));
+    else if (request.method == "GET" && request.target == readinessPath)
+        m_controlServer.respond(id, readiness());
     else if (request.method == "GET" && request.target == metricsPath)
         m_controlServer.respond(id, { 200, { { "content-type", "text/plain; version=0.0.4" } }, metricsText() });
     else
@@ -183,43 +215,57 @@
     }
 }
 
-void Daemon::handleAnnouncement(Transport::ServerRequestId id, const Transport::HttpRequest& request)
+Transport::HttpResponse Daemon::answerSide(const Transport::HttpRequest& request)
+{
+    if (request.target.starts_with(backendsPath))
+        return answerAnnouncement(request);
+    if (request.method == "GET" && request.target == readinessPath)
+        return readiness();
+    if (request.method == "GET" && request.target == metricsPath)
+        return { 200, { { "content-type", "text/plain; version=0.0.4" } }, metricsText() };
+    return plainResponse(404, "there is nothing at this path");
+}
+
+Transport::HttpResponse Daemon::readiness() const
+{
+    const auto& state = node().state();
+    if (state.isLeaving())
+        return plainResponse(503, "leaving");
+    if (state.routes().isUsed() && !state.routes().table())
+        return plainResponse(503, "no routes are known yet");
+    return plainResponse(200, "ready");
+}
+
+Transport::HttpResponse Daemon::answerAnnouncement(const Transport::HttpRequest& request)
 {
     auto backend = request.target.substr(backendsPath.size());
     try {
-        if (request.method == "DELETE") {
-            withdraw(id, BackendId(backend), request.peerAddress);
-            return;
-        }
-        if (request.method != "PUT") {
-            respondControl(id, 405, "announcements are made by PUT and withdrawn by DELETE");
-            return;
-        }
-        auto announcement = readAnnouncement(backend, request.body);
-        if (announcement.endpoint.address != request.peerAddress) {
-            respondControl(id, 403, "the endpoint's address differs from the sender's address " + request.peerAddress);
-            return;
-        }
+        if (request.method == "DELETE")
+            return withdraw(BackendId(backend), request.peerAddress);
+        if (request.method != "PUT")
+            return plainResponse(405, "announcements are made by PUT and withdrawn by DELETE");
+        auto announcement = m_options.platform.readAnnouncement(backend, request.body);
+        if (announcement.endpoint.address != request.peerAddress)
+            return plainResponse(403, "the endpoint's address differs from the sender's address " + request.peerAddress);
         m_driver.handle(Decision::BackendAnnounced { std::move(announcement) });
-        m_controlServer.respond(id, { 204, {}, "" });
+        return { 204, {}, "" };
     } catch (const Model::Error& error) {
-        respondControl(id, 400, error.what());
+        Telemetry::LogRecord record { Telemetry::LogLevel::Warn, "announcement-refused", {} };
+        record.fields = { { "step", error.step() }, { "backend", backend }, { "peer", request.peerAddress }, { "evidence", error.what() } };
+        m_observability.log().write(m_loop.now(), std::move(record));
+        return plainResponse(400, error.what());
     }
 }
 
-void Daemon::withdraw(Transport::ServerRequestId id, const BackendId& backend, const std::string& peerAddress)
+Transport::HttpResponse Daemon::withdraw(const BackendId& backend, const std::string& peerAddress)
 {
     auto known = node().state().localBackends().find(backend);
-    if (!known) {
-        respondControl(id, 404, "backend server " + backend.value() + " hasn't announced itself to this process");
-        return;
-    }
-    if (known->announcement.endpoint.address != peerAddress) {
-        respondControl(id, 403, "the backend server's address differs from the sender's address " + peerAddress);
-        return;
-    }
+    if (!known)
+        return plainResponse(404, "backend server " + backend.value() + " hasn't announced itself to this process");
+    if (known->announcement.endpoint.address != peerAddress)
+        return plainResponse(403, "the backend server's address differs from the sender's address " + peerAddress);
     m_driver.handle(Decision::BackendWithdrawn { backend });
-    m_controlServer.respond(id, { 204, {}, "" });
+    return { 204, {}, "" };
 }
 
 void Daemon::handleOperatorCall(Transport::ServerRequestId id, const Transport::HttpRequest& request)
@@ -278,7 +324,7 @@
 
 void Daemon::carryOut(const Decision::SendMessage& effect)
 {
-    auto sealed = m_channel.seal(effect.to, node().state().membership().self().incarnation, effect.body);
+    auto sealed = m_channel.seal(effect.to, node().state().membership().self().incarnation, effect.body, node().state().routes().version());
     Transport::ClientRequest request;
     request.to = effect.to;
     request.request.method = "POST";
@@ -303,7 +349,7 @@
     request.deadline = effect.timeout;
     request.maximumConnections = probeConnections;
     m_client.send(std::move(request), [this, backend = effect.backend](const Transport::ClientResult& result) {
-        m_driver.handle(Decision::ProbeFinished { backend, runReportOf(result) });
+        m_driver.handle(Decision::ProbeFinished { backend, probeReportOf(result) });
     });
 }
 
@@ -314,7 +360,7 @@
 
 void Daemon::carryOut(const Decision::CallPlatform& effect)
 {
-    m_store.execute(effect.tag, effect.operation, [this](Decision::PlatformReply reply) { m_driver.handle(Decision::PlatformReplied { std::move(reply) }); });
+    m_store(effect.tag, effect.operation, [this](Decision::PlatformReply reply) { m_driver.handle(Decision::PlatformReplied { std::move(reply) }); });
 }
 
 void Daemon::carryOut(const Decision::Explain& effect)
--- a/Services/fulmard/Daemon.h
+++ b/Services/fulmard/Daemon.h
@@ -3,7 +3,7 @@
 #include <LibControl/ControlChannel.h>
 #include <LibControl/RunEnvelope.h>
 #include <LibModel/Settings.h>
-#include <LibPlatform/ConsulStore.h>
+#include <LibPlatform/PlatformStore.h>
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
@@ -17,11 +17,24 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace Fulmard {
 
+// Carries out an operation of the platform's store, as the concept PlatformStore says.
+using StoreFunction = std::function<void(Decision::PlatformTag, const Decision::PlatformOperation&, Platform::PlatformCallback)>;
+
+// How this process meets the platform that it runs on.
+struct PlatformInterface {
+    // Opens the store on the loop.
+    std::function<StoreFunction(Transport::EventLoop&)> openStore;
+    // Reads a backend server's announcement of itself from its id and the body. Throws Model::Error.
+    std::function<BackendAnnouncement(const std::string&, std::string_view)> readAnnouncement;
+};
+
 struct DaemonOptions {
     Settings settings;
+    PlatformInterface platform;
     // Must be higher than that of any earlier start of the same instance.
     Incarnation start;
     uint64_t randomSeed { 0 };
@@ -53,14 +66,18 @@
 private:
     Transport::HttpServerOptions callersOptions();
     Transport::HttpServerOptions controlOptions();
+    void openSideServers();
     Decision::NodeOptions nodeOptions() const;
     IngressCalls::Parties ingressParties();
 
     void handleControlRequest(Transport::ServerRequestId, Transport::HttpRequest);
+    // Answers the platform and the backend server beside this process, which reach listeners of their own.
+    Transport::HttpResponse answerSide(const Transport::HttpRequest&);
+    Transport::HttpResponse readiness() const;
     void handleRunOrder(Transport::ServerRequestId, Transport::HttpRequest);
     void handleMessage(Transport::ServerRequestId, const Transport::HttpRequest&);
-    void handleAnnouncement(Transport::ServerRequestId, const Transport::HttpRequest&);
-    void withdraw(Transport::ServerRequestId, const BackendId&, const std::string& peerAddress);
+    Transport::HttpResponse answerAnnouncement(const Transport::HttpRequest&);
+    Transport::HttpResponse withdraw(const BackendId&, const std::string& peerAddress);
     void handleOperatorCall(Transport::ServerRequestId, const Transport::HttpRequest&);
     void handleControlGone(Transport::ServerRequestId);
     void respondRun(Transport::ServerRequestId, SidecarReply);
@@ -81,8 +98,10 @@
     Observability m_observability;
     Transport::HttpServer m_callersServer;
     Transport::HttpServer m_controlServer;
+    // Listeners beside the control endpoint for those who may not reach it.
+    std::vector<std::unique_ptr<Transport::HttpServer>> m_sideServers;
     Transport::HttpClient m_client;
-    Platform::ConsulStore m_store;
+    StoreFunction m_store;
     Control::ControlChannel m_channel;
     Control::RunOrderChannel m_orders;
     RequestReader m_reader;
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -87,14 +87,17 @@
     try {
         info = m_parties.reader.read(request);
     } catch (const BadRequestError& error) {
-        m_parties.respond(serverRequest, makeProblemResponse({ Outcome::NotRun, Reason::BadRequest, "read-request", error.what(), Duration::zero(), "" }));
+        m_parties.respond(serverRequest, makeProblemResponse({ Outcome::NotRun, Reason::BadRequest, "read-request", error.what(), Duration::zero(), "" }, m_parties.edge.statuses));
         return;
     }
 
     Transport::removeHopByHopHeaders(request.headers);
     std::erase_if(request.headers, [](const Transport::HttpHeader& header) { return header.name == "fulmar-run" || header.name == "content-length"; });
     addForwardingHeaders(request, m_parties.self);
+    if (!m_parties.edge.callerService.empty())
+        Transport::setHeader(request.headers, m_parties.edge.callerService, m_parties.callerService.value());
 
+    auto authority = request.authority;
     m_lastId = m_lastId.next();
     m_callsByServerRequest.emplace(serverRequest, m_lastId);
     auto span = m_parties.observability.tracer().startSpan("ingress", Transport::findHeader(request.headers, "traceparent").value_or(""));
@@ -102,7 +105,7 @@
     span->SetTag("service", info.service.value());
     auto shared = std::make_shared<const Transport::HttpRequest>(std::move(request));
     m_calls.emplace(m_lastId, Call { serverRequest, info, std::move(shared), m_parties.now(), std::move(span), {} });
-    m_parties.sink(Decision::CallArrived { m_lastId, std::move(info) });
+    m_parties.sink(Decision::CallArrived { m_lastId, std::move(info), authority, std::nullopt });
 }
 
 void IngressCalls::callerGone(Transport::ServerRequestId serverRequest)
@@ -238,7 +241,7 @@
     Transport::removeHopByHopHeaders(response.headers);
     std::erase_if(response.headers, [](const Transport::HttpHeader& header) { return header.name.starts_with("fulmar-") || header.name == "content-length"; });
     response.headers.push_back({ HeaderName::outcome, std::string(nameOf(Outcome::Answered)) });
-    response.headers.push_back({ HeaderName::requestId, call->second.info.id.value() });
+    Transport::setHeader(response.headers, m_parties.edge.requestId, call->second.info.id.value());
     response.headers.push_back({ "via", "1.1 " + m_parties.self.value() });
     respond(effect.call, Outcome::Answered, Reason::None, std::move(response));
 }
@@ -249,7 +252,7 @@
     if (call == m_calls.end())
         return;
     auto requestId = call->second.info.id.value();
-    respond(effect.call, effect.outcome, effect.reason, makeProblemResponse({ effect.outcome, effect.reason, effect.step, effect.peer, effect.retryAfter, requestId }));
+    respond(effect.call, effect.outcome, effect.reason, makeProblemResponse({ effect.outcome, effect.reason, effect.step, effect.peer, effect.retryAfter, requestId }, m_parties.edge.statuses));
 }
 
 void IngressCalls::respond(CallId id, Outcome outcome, Reason reason, Transport::HttpResponse response)
--- a/Services/fulmard/IngressCalls.h
+++ b/Services/fulmard/IngressCalls.h
@@ -33,6 +33,9 @@
         std::function<Instant()> now;
         Observability& observability;
         uint64_t maximumAnswerBytes { 0 };
+        EdgeSettings edge;
+        // The service beside this process, whose requests come from here.
+        ServiceName callerService;
     };
 
     explicit IngressCalls(Parties);
--- a/Services/fulmard/Observability.cpp
+++ b/Services/fulmard/Observability.cpp
@@ -18,6 +18,7 @@
     // Decisions that every request brings are of no interest to an operator by default; losses are.
     constexpr std::array kindLevels {
         KindLevel { DecisionKind::RequestRouted, LogLevel::Trace },
+        KindLevel { DecisionKind::RequestAnswered, LogLevel::Trace },
         KindLevel { DecisionKind::RequestQueued, LogLevel::Trace },
         KindLevel { DecisionKind::ProbeSent, LogLevel::Debug },
         KindLevel { DecisionKind::RequestRetried, LogLevel::Debug },
--- a/Services/fulmard/ProblemDetails.cpp
+++ b/Services/fulmard/ProblemDetails.cpp
@@ -1,7 +1,9 @@
 #include <Services/fulmard/ProblemDetails.h>
 
 #include <LibControl/JsonText.h>
+#include <LibModel/NumberText.h>
 
+#include <algorithm>
 #include <array>
 #include <json/value.h>
 
@@ -20,6 +22,7 @@
     // Reasons with a status of their own; the others follow the outcome.
     constexpr std::array reasonStatuses {
         ReasonStatus { Reason::NoSuchService, 404 },
+        ReasonStatus { Reason::NoRoute, 404 },
         ReasonStatus { Reason::BodyTooLarge, 413 },
         ReasonStatus { Reason::BadRequest, 400 },
         ReasonStatus { Reason::DeadlineExceeded, 504 },
@@ -31,6 +34,26 @@
         ReasonStatus { Reason::CrashSuspected, 422 },
     };
 
+    // What is wrong with the request itself has its own status whatever the scheme: sending it again wouldn't help.
+    constexpr std::array callerFaults { Reason::NoRoute, Reason::BodyTooLarge, Reason::BadRequest };
+
+    uint16_t promiseOf(Outcome outcome, Reason reason)
+    {
+        constexpr uint16_t gatewayTimeout = 504;
+        if (outcome == Outcome::NotRun)
+            return serviceUnavailable;
+        bool isLate = reason == Reason::DeadlineExceeded || reason == Reason::NoProgress;
+        return isLate ? gatewayTimeout : badGateway;
+    }
+
+    // Callers who go by promises read fractions of a second, which keeps short waits short.
+    std::string retryAfterText(Duration delay, StatusScheme scheme)
+    {
+        if (scheme == StatusScheme::ByReason)
+            return std::to_string(std::chrono::ceil<std::chrono::seconds>(delay).count());
+        return formatNumber(std::chrono::duration<double>(std::chrono::ceil<std::chrono::milliseconds>(delay)).count());
+    }
+
     constexpr std::string_view titleOf(Outcome outcome)
     {
         switch (outcome) {
@@ -46,17 +69,19 @@
 
 }
 
-uint16_t statusOf(Outcome outcome, Reason reason)
+uint16_t statusOf(Outcome outcome, Reason reason, StatusScheme scheme)
 {
+    if (scheme == StatusScheme::ByPromise && std::ranges::find(callerFaults, reason) == callerFaults.end())
+        return promiseOf(outcome, reason);
     auto entry = std::ranges::find(reasonStatuses, reason, &ReasonStatus::reason);
     if (entry != reasonStatuses.end())
         return entry->status;
     return outcome == Outcome::NotRun ? serviceUnavailable : badGateway;
 }
 
-Transport::HttpResponse makeProblemResponse(const Problem& problem)
+Transport::HttpResponse makeProblemResponse(const Problem& problem, StatusScheme scheme)
 {
-    auto status = statusOf(problem.outcome, problem.reason);
+    auto status = statusOf(problem.outcome, problem.reason, scheme);
     Json::Value body;
     body["type"] = "urn:fulmarsail:problem:" + std::string(nameOf(problem.reason));
     body["title"] = std::string(titleOf(problem.outcome));
@@ -80,10 +105,8 @@
     };
     if (!problem.requestId.empty())
         response.headers.push_back({ HeaderName::requestId, problem.requestId });
-    if (problem.retryAfter > Duration::zero()) {
-        auto seconds = std::chrono::ceil<std::chrono::seconds>(problem.retryAfter).count();
-        response.headers.push_back({ "retry-after", std::to_string(seconds) });
-    }
+    if (problem.retryAfter > Duration::zero())
+        response.headers.push_back({ "retry-after", retryAfterText(problem.retryAfter, scheme) });
     return response;
 }
 
--- a/Services/fulmard/ProblemDetails.h
+++ b/Services/fulmard/ProblemDetails.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibModel/Outcome.h>
+#include <LibModel/Settings.h>
 #include <LibModel/Time.h>
 #include <LibTransport/HttpMessage.h>
 
@@ -31,9 +32,9 @@
 }
 
 // Gives the HTTP status that fits a refusal or failure.
-uint16_t statusOf(Outcome, Reason);
+uint16_t statusOf(Outcome, Reason, StatusScheme = StatusScheme::ByReason);
 
 // Makes a problem-details answer. https://www.rfc-editor.org/rfc/rfc9457
-Transport::HttpResponse makeProblemResponse(const Problem&);
+Transport::HttpResponse makeProblemResponse(const Problem&, StatusScheme = StatusScheme::ByReason);
 
 }
--- a/Services/fulmard/RequestReader.cpp
+++ b/Services/fulmard/RequestReader.cpp
@@ -48,15 +48,15 @@
         return path;
     }
 
-    std::optional<Duration> readDeadline(const Transport::HttpRequest& request)
+    std::optional<Duration> readDeadline(const Transport::HttpRequest& request, const std::string& name)
     {
-        auto value = Transport::findHeader(request.headers, CallerHeader::deadline);
+        auto value = Transport::findHeader(request.headers, name);
         if (!value)
             return std::nullopt;
         uint32_t milliseconds = 0;
         auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), milliseconds);
         if (error != std::errc() || end != value->data() + value->size())
-            throw BadRequestError(std::string(CallerHeader::deadline) + " must be whole milliseconds");
+            throw BadRequestError(name + " must be whole milliseconds");
         return std::chrono::milliseconds(milliseconds);
     }
 
@@ -71,20 +71,24 @@
 
 }
 
-RequestReader::RequestReader(uint64_t randomSeed)
-    : m_random(randomSeed)
+RequestReader::RequestReader(uint64_t randomSeed, EdgeSettings edge)
+    : m_edge(std::move(edge))
+    , m_random(randomSeed)
 {
 }
 
 RequestInfo RequestReader::read(const Transport::HttpRequest& request)
 {
     RequestInfo info;
-    info.id = makeRequestId();
+    if (m_edge.hasCallerRequestIds)
+        info.id = RequestId(readName(request, m_edge.requestId.c_str(), ""));
+    if (info.id.isEmpty())
+        info.id = makeRequestId();
     info.service = ServiceName(readName(request, CallerHeader::service, firstLabel(request.authority)));
     info.account = AccountId(readName(request, CallerHeader::account, request.peerAddress));
     info.method = enumFromName<Method>(request.method).value_or(Method::Other);
     info.path = asciiPath(request.target);
-    info.remaining = readDeadline(request);
+    info.remaining = readDeadline(request, m_edge.deadline);
     if (Transport::findHeader(request.headers, CallerHeader::idempotencyKey)) {
         auto key = unquoted(readName(request, CallerHeader::idempotencyKey, ""));
         if (key.empty())
--- a/Services/fulmard/RequestReader.h
+++ b/Services/fulmard/RequestReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibModel/Request.h>
+#include <LibModel/Settings.h>
 #include <LibTransport/HttpMessage.h>
 
 #include <cstdint>
@@ -17,8 +18,6 @@
     constexpr auto service = "fulmar-service";
     // Names the caller's account; without it the caller's IP number does.
     constexpr auto account = "fulmar-account";
-    // What is left of the caller's deadline, in milliseconds.
-    constexpr auto deadline = "fulmar-deadline-ms";
     // https://datatracker.ietf.org/doc/draft-ietf-httpapi-idempotency-key-header/
     constexpr auto idempotencyKey = "idempotency-key";
 }
@@ -32,14 +31,15 @@
 // Reads what the decisions need from a caller's request.
 class RequestReader {
 public:
-    explicit RequestReader(uint64_t randomSeed);
+    RequestReader(uint64_t randomSeed, EdgeSettings);
 
-    // Gives the request a new id. Throws BadRequestError on a malformed header.
+    // Gives the request a new id, unless its caller chose one. Throws BadRequestError on a malformed header.
     RequestInfo read(const Transport::HttpRequest&);
 
 private:
     RequestId makeRequestId();
 
+    EdgeSettings m_edge;
     std::mt19937_64 m_random;
 };
 
--- a/Services/fulmard/SidecarCalls.cpp
+++ b/Services/fulmard/SidecarCalls.cpp
@@ -15,11 +15,12 @@
 
 }
 
-SidecarCalls::SidecarCalls(Transport::HttpClient& client, Observability& observability, InstanceId self, uint64_t maximumAnswerBytes, InputSink sink)
+SidecarCalls::SidecarCalls(Transport::HttpClient& client, Observability& observability, InstanceId self, const LimitSettings& limits, EdgeSettings edge, InputSink sink)
     : m_client(client)
     , m_observability(observability)
     , m_self(std::move(self))
-    , m_maximumAnswerBytes(maximumAnswerBytes)
+    , m_maximumAnswerBytes(limits.answerBodyBytes)
+    , m_edge(std::move(edge))
     , m_sink(std::move(sink))
 {
 }
@@ -66,10 +67,11 @@
     auto request = *call.request;
     Transport::removeHopByHopHeaders(request.headers);
     std::erase_if(request.headers, [](const Transport::HttpHeader& header) { return header.name == "fulmar-run" || header.name == "content-length"; });
-    std::erase_if(request.headers, [](const Transport::HttpHeader& header) { return header.name == CallerHeader::deadline; });
     auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(effect.remaining).count();
-    request.headers.push_back({ CallerHeader::deadline, std::to_string(milliseconds) });
-    request.headers.push_back({ HeaderName::requestId, call.requestId.value() });
+    Transport::setHeader(request.headers, m_edge.deadline, std::to_string(milliseconds));
+    Transport::setHeader(request.headers, m_edge.requestId, call.requestId.value());
+    if (!m_edge.expectedBackend.empty())
+        Transport::setHeader(request.headers, m_edge.expectedBackend, effect.backend.value());
     request.headers.push_back({ "via", "1.1 " + m_self.value() });
     Transport::setHeader(request.headers, "traceparent", Telemetry::JsonLinesTracer::traceparentOf(*call.runSpan));
     return request;
@@ -103,9 +105,9 @@
 {
     auto& call = m_calls.at(id);
     call.run = 0;
-    auto report = runReportOf(result);
+    auto report = runReportOf(result, m_edge);
     // A backend server may say which request its answer belongs to; one that says another's mixed answers up.
-    auto answeredId = Transport::findHeader(result.response.headers, HeaderName::requestId);
+    auto answeredId = Transport::findHeader(result.response.headers, m_edge.requestId);
     if (report.result == Decision::AttemptResult::Answered && answeredId && *answeredId != call.requestId.value()) {
         report.result = Decision::AttemptResult::Malformed;
         report.reason = Reason::AnswerMalformed;
--- a/Services/fulmard/SidecarCalls.h
+++ b/Services/fulmard/SidecarCalls.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/Effect.h>
 #include <LibDecision/Input.h>
+#include <LibModel/Settings.h>
 #include <LibTransport/HttpClient.h>
 #include <Services/fulmard/Observability.h>
 #include <Services/fulmard/SidecarReply.h>
@@ -19,7 +20,7 @@
 // The requests that this process handles for its backend servers: carries them there and back for the core.
 class SidecarCalls {
 public:
-    SidecarCalls(Transport::HttpClient&, Observability&, InstanceId self, uint64_t maximumAnswerBytes, InputSink);
+    SidecarCalls(Transport::HttpClient&, Observability&, InstanceId self, const LimitSettings&, EdgeSettings, InputSink);
 
     // Takes a request from an ingress, which may be this process, with the traceparent of its attempt. The handler is
     // called once, unless cancelled.
@@ -62,6 +63,7 @@
     Observability& m_observability;
     InstanceId m_self;
     uint64_t m_maximumAnswerBytes;
+    EdgeSettings m_edge;
     InputSink m_sink;
     SidecarCallId m_lastId;
     std::unordered_map<SidecarCallId, Call> m_calls;
--- a/Services/fulmard/main.cpp
+++ b/Services/fulmard/main.cpp
@@ -1,8 +1,14 @@
 #include <LibModel/Error.h>
 #include <LibModel/TextFile.h>
+#include <LibPlatform/ConsulStore.h>
+#include <Services/fulmard/BackendApi.h>
 #include <Services/fulmard/Daemon.h>
+#include <platform/InstanceReport.h>
+#include <platform/NodeFile.h>
+#include <platform/RevisionStore.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <random>
@@ -24,11 +30,46 @@
     return (uint64_t(device()) << 32) | device();
 }
 
+template <typename Store, typename... Arguments>
+Fulmard::StoreFunction openStore(Transport::EventLoop& loop, Arguments... arguments)
+{
+    static_assert(Platform::PlatformStore<Store>);
+    auto store = std::make_shared<Store>(loop, arguments...);
+    return [store](Decision::PlatformTag tag, const Decision::PlatformOperation& operation, Platform::PlatformCallback callback) {
+        store->execute(tag, operation, std::move(callback));
+    };
+}
+
+Fulmard::PlatformInterface platformInterface(const Model::Settings& settings)
+{
+    if (settings.platformApi == Model::PlatformApi::Consul) {
+        Platform::ConsulStoreSettings store { settings.platform };
+        return { [store](Transport::EventLoop& loop) { return openStore<Platform::ConsulStore>(loop, store); }, Fulmard::readAnnouncement };
+    }
+    auto endpoint = settings.platform.front();
+    return { [endpoint](Transport::EventLoop& loop) { return openStore<PlatformAdapter::RevisionStore>(loop, endpoint); }, PlatformAdapter::readInstanceReport };
+}
+
+// The product's settings file, or the one that the platform gives.
+Model::Settings readSettings(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("settings")) {
+        auto path = arguments["settings"].as<std::string>();
+        return Model::parseSettings(Model::readTextFile(path), path);
+    }
+    const auto* variable = std::getenv(PlatformAdapter::nodeFileVariable);
+    std::string path = arguments.count("node-file") ? arguments["node-file"].as<std::string>() : variable ? variable : "";
+    if (path.empty())
+        throw Model::DocumentError("fulmard", 0, "settings", "missing", "--settings FILE or --node-file FILE; see fulmard --help");
+    return PlatformAdapter::readNodeFile(Model::readTextFile(path), path);
+}
+
 void runDaemon(const Model::Settings& settings)
 {
     Transport::EventLoop loop;
     Fulmard::DaemonOptions options;
     options.settings = settings;
+    options.platform = platformInterface(settings);
     options.start = startIncarnation();
     options.randomSeed = randomSeed();
     options.onLeft = [&] { loop.stop(); };
@@ -56,7 +97,7 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("fulmard", "Takes callers' requests and stands before backend servers.");
-    options.add_options()("s,settings", "Settings file (YAML)", cxxopts::value<std::string>())("check", "Check the settings and exit")("version", "Print the version")("h,help", "Print this help");
+    options.add_options()("s,settings", "Settings file (YAML)", cxxopts::value<std::string>())("node-file", "Settings file of the platform; its environment variable names it if this is not given", cxxopts::value<std::string>())("check", "Check the settings and exit")("version", "Print the version")("h,help", "Print this help");
     try {
         auto arguments = options.parse(argc, argv);
         if (arguments.count("help")) {
@@ -67,14 +108,9 @@
             std::cout << "fulmard " FULMAR_VERSION "\n";
             return 0;
         }
-        if (!arguments.count("settings")) {
-            std::cerr << "fulmard: --settings FILE is missing; see fulmard --help\n";
-            return exitSettingsRefused;
-        }
-        auto path = arguments["settings"].as<std::string>();
-        auto settings = Model::parseSettings(Model::readTextFile(path), path);
+        auto settings = readSettings(arguments);
         if (arguments.count("check")) {
-            std::cout << path << ": accepted\n";
+            std::cout << settings.instance << ": the settings are accepted\n";
             return 0;
         }
         runDaemon(settings);
