LibDecision: Judge faults at the sidecar within two failures

Cause: backend servers fail 60 % of their requests for some seconds at any time; the sequential test needed 18 failures in a row, all ingresses kept sending, and full sidecars queued while others were idle. Ruled out: gossiping verdicts faster (a refusal by the sidecar costs one round trip and no backend server's time); lower thresholds of the old test (it has no notion that a fault is over). Change: FaultFilter, a two-state hidden Markov model at each sidecar; refusals with reasons backend-suspected and backend-busy, free for the request; the ingress compares all candidates; requests may wait at the ingress; attempt timeouts by route.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -286,6 +286,7 @@
     archive.field("queued", value.queued);
     archive.field("serviceTime", value.serviceTime);
     archive.field("suspicion", value.suspicion);
+    archive.field("faultProbability", value.faultProbability);
 }
 
 inline const char* kindOf(const MemberRecord&) { return "member"; }
--- a/Libraries/LibControl/RunEnvelope.cpp
+++ b/Libraries/LibControl/RunEnvelope.cpp
@@ -24,6 +24,9 @@
     archive.field("backendIncarnation", value.backendIncarnation);
     archive.field("request", value.request);
     archive.field("isIdempotent", value.isIdempotent);
+    archive.field("latencyObjective", value.latencyObjective);
+    archive.field("isOnlyForFreeSlot", value.isOnlyForFreeSlot);
+    archive.field("isLastResort", value.isLastResort);
     archive.field("isReplayOnly", value.isReplayOnly);
 }
 
--- a/Libraries/LibControl/RunEnvelope.h
+++ b/Libraries/LibControl/RunEnvelope.h
@@ -25,6 +25,9 @@
     Model::Incarnation backendIncarnation;
     Model::RequestInfo request;
     bool isIdempotent { false };
+    Model::Duration latencyObjective { 0 };
+    bool isOnlyForFreeSlot { false };
+    bool isLastResort { false };
     bool isReplayOnly { false };
 
     bool operator==(const RunOrder&) const = default;
--- a/Libraries/LibDecision/Admission/AdmittedCall.h
+++ b/Libraries/LibDecision/Admission/AdmittedCall.h
@@ -3,6 +3,7 @@
 #include <LibDecision/Admission/CrashWatch.h>
 #include <LibDecision/Admission/FairQueue.h>
 #include <LibDecision/Attempt.h>
+#include <LibDecision/Health/FaultFilter.h>
 #include <LibModel/Request.h>
 
 #include <cstdint>
@@ -27,6 +28,10 @@
     AdmissionStage stage { AdmissionStage::Queued };
     Instant deadline;
     Instant startedAt;
+    // A run that takes longer speaks against the backend server; zero if none does.
+    Duration latencyObjective { 0 };
+    // True once the run was held against the backend server because it took too long.
+    bool isLate { false };
     // What the account was charged when the request took its slot.
     Duration charged { 0 };
     // True if the ingress no longer waits for the outcome.
@@ -48,6 +53,7 @@
     // Exponentially weighted mean; zero until the first answer.
     Duration serviceTime { 0 };
     CrashWatch crashes;
+    FaultFilter faults;
 };
 
 // An outcome without an answer, with its reason.
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -99,6 +99,8 @@
     bool hasSlotFor(const AdmittedCall&, Instant now) const;
 
     void enqueue(Turn&, SidecarCallId, AdmittedCall&);
+    // Forgets a request that came for a free slot only and found none.
+    void refuseUnqueued(Turn&, SidecarCallId, const AdmittedCall&);
     void start(Turn&, SidecarCallId, AdmittedCall&);
     void run(Turn&, SidecarCallId, AdmittedCall&);
     void serveQueue(Turn&, const BackendId&);
@@ -109,6 +111,10 @@
     void withdrawClaim(Turn&, SidecarCallId, Verdict);
     void finishClaimed(Turn&, SidecarCallId, Outcome);
     void settleUsage(const AdmittedCall&, const RunReport&, Instant now);
+    // Whether the probability of a fault forbids the request.
+    bool isTooDoubtful(const SidecarCallArrived&, Instant now) const;
+    void noteLate(SidecarCallId, Instant now);
+    void learnFault(const AdmittedCall&, const RunReport&, Instant now);
     void learnServiceTime(BackendOccupancy&, const RunReport&);
     void watchCrashes(Turn&, const AdmittedCall&, const RunReport&);
     void blameSuspects(Turn&, const BackendId&, Incarnation);
@@ -134,6 +140,8 @@
     std::unordered_map<BackendId, BackendOccupancy> m_occupancies;
     // Ends of waits, for the queue and for claims.
     TimerQueue<SidecarCallId> m_waits;
+    // When running requests begin to speak against their backend server.
+    TimerQueue<SidecarCallId> m_lateTimers;
     // Instants at which a cold backend server may use one more slot.
     TimerQueue<BackendId> m_rampSteps;
     uint64_t m_strayInputs { 0 };
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -2,7 +2,10 @@
 
 #include <LibDecision/Admission/SidecarAdmission.h>
 
+#include <LibDecision/Calls/AttemptVerdict.h>
+
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 // Definitions of SidecarAdmission.h's template.
@@ -21,12 +24,14 @@
 template <ClaimGate Gate, RunObserver Observer>
 std::optional<Instant> SidecarAdmission<Gate, Observer>::nextTimer() const
 {
-    return earliest(m_waits.next(), m_rampSteps.next());
+    return earliest(m_lateTimers.next(), earliest(m_waits.next(), m_rampSteps.next()));
 }
 
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::handleTimer(Turn& turn)
 {
+    for (auto call : m_lateTimers.takeDue(turn.now()))
+        noteLate(call, turn.now());
     for (auto call : m_waits.takeDue(turn.now()))
         endWait(turn, call);
     for (const auto& backend : m_rampSteps.takeDue(turn.now()))
@@ -74,6 +79,7 @@
     admitted.incarnation = arrival.incarnation;
     admitted.request = arrival.request;
     admitted.isIdempotent = arrival.isIdempotent;
+    admitted.latencyObjective = arrival.latencyObjective;
     admitted.deadline = turn.now() + arrival.request.remaining.value_or(profileOf(arrival.backend).deadlines.defaultDeadline);
     auto [entry, isNew] = m_occupancies.try_emplace(arrival.backend);
     auto& occupancy = entry->second;
@@ -82,6 +88,8 @@
     auto& call = m_calls.emplace(arrival.call, std::move(admitted)).first->second;
     if (occupancy.queue.isEmpty() && hasSlotFor(call, turn.now()))
         start(turn, arrival.call, call);
+    else if (arrival.isOnlyForFreeSlot)
+        refuseUnqueued(turn, arrival.call, call);
     else
         enqueue(turn, arrival.call, call);
 }
@@ -160,6 +168,7 @@
         report.elapsed = turn.now() - admitted.startedAt;
     settleUsage(admitted, report, turn.now());
     learnServiceTime(m_occupancies[admitted.backend], report);
+    learnFault(admitted, report, turn.now());
     watchCrashes(turn, admitted, report);
     m_observer.runFinished(turn, call, admitted.backend, report);
     release(call);
@@ -232,6 +241,7 @@
     report.running = occupancy->second.running;
     report.queued = occupancy->second.queue.size();
     report.serviceTime = occupancy->second.serviceTime;
+    report.faultProbability = occupancy->second.faults.probability(now);
     return report;
 }
 
@@ -257,9 +267,24 @@
         return Reason::DeadlineExceeded;
     if (m_crashGuard.isRefused(arrival.request.fingerprint, profileOf(arrival.backend).crash, turn.now()))
         return Reason::CrashSuspected;
+    if (isTooDoubtful(arrival, turn.now()))
+        return Reason::BackendSuspected;
     return std::nullopt;
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+bool SidecarAdmission<Gate, Observer>::isTooDoubtful(const SidecarCallArrived& arrival, Instant now) const
+{
+    auto occupancy = m_occupancies.find(arrival.backend);
+    if (occupancy == m_occupancies.end() || arrival.isLastResort)
+        return false;
+    auto bound = profileOf(arrival.backend).health.faultBound;
+    // A request that may repeat loses only time, and what becomes of it tells whether the fault is over.
+    if (arrival.isIdempotent)
+        bound = std::sqrt(bound);
+    return bound < 1 && occupancy->second.faults.probability(now) >= bound;
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 std::optional<Reason> SidecarAdmission<Gate, Observer>::obstacleTo(const AdmittedCall& admitted, Instant now) const
 {
@@ -351,6 +376,8 @@
     effect.needsProvenConnection = !admitted.isIdempotent;
     effect.maximumConnections = profile.capacity.connections;
     effect.idleConnectionTimeout = profile.capacity.idleConnectionTimeout;
+    if (admitted.latencyObjective > Duration::zero())
+        m_lateTimers.set(call, turn.now() + admitted.latencyObjective);
     m_observer.runStarted(turn, call, admitted.backend);
     turn.emit(std::move(effect));
 }
@@ -456,6 +483,34 @@
         m_usage.charge(admitted.request.service, admitted.request.account, report.elapsed - admitted.charged, now);
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::noteLate(SidecarCallId call, Instant now)
+{
+    auto entry = m_calls.find(call);
+    if (entry == m_calls.end() || entry->second.stage != AdmissionStage::Running)
+        return;
+    entry->second.isLate = true;
+    m_occupancies.at(entry->second.backend).faults.observe(true, now);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::learnFault(const AdmittedCall& admitted, const RunReport& report, Instant now)
+{
+    // A cancelled run says nothing: its ingress may have had the answer from elsewhere.
+    if (admitted.isLate || report.result == AttemptResult::Cancelled)
+        return;
+    bool isGood = report.result == AttemptResult::Answered && !isServerError(report.status);
+    m_occupancies.at(admitted.backend).faults.observe(!isGood, now);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::refuseUnqueued(Turn& turn, SidecarCallId call, const AdmittedCall& admitted)
+{
+    auto refused = admitted;
+    m_calls.erase(call);
+    tellRefusal(turn, call, refused.backend, refused.request, { Outcome::NotRun, Reason::BackendBusy }, "admit");
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::learnServiceTime(BackendOccupancy& occupancy, const RunReport& report)
 {
@@ -520,6 +575,7 @@
     if (occupancy.isolated == call)
         occupancy.isolated.reset();
     m_waits.cancel(call);
+    m_lateTimers.cancel(call);
     m_calls.erase(entry);
 }
 
--- a/Libraries/LibDecision/Attempt.h
+++ b/Libraries/LibDecision/Attempt.h
@@ -44,6 +44,8 @@
     Duration serviceTime { 0 };
     // The sidecar's suspicion against the backend server: 0 is healthy, 1 is certainly sick.
     double suspicion { 0 };
+    // How probable it is that the backend server fails its requests right now.
+    double faultProbability { 0 };
 
     bool operator==(const LoadReport&) const = default;
 };
--- a/Libraries/LibDecision/CallTerms.h
+++ b/Libraries/LibDecision/CallTerms.h
@@ -4,6 +4,7 @@
 #include <LibModel/Time.h>
 
 #include <cstdint>
+#include <string>
 
 namespace Decision {
 
@@ -11,6 +12,8 @@
 
 // How one request is treated, as its route or its service's profile says.
 struct CallTerms {
+    // Name of the route; empty if the profile decides.
+    std::string route;
     // Whether it may run more than once.
     bool isIdempotent { false };
     // Bound on its deadline.
--- a/Libraries/LibDecision/Calls/AttemptTimeout.cpp
+++ b/Libraries/LibDecision/Calls/AttemptTimeout.cpp
@@ -32,7 +32,8 @@
     auto half = remaining / 2;
     if (half < minimum)
         return std::nullopt;
-    auto expected = m_hasSample ? meanFactor * m_mean + deviationFactor * m_deviation : initial;
+    auto learnt = m_hasSample ? meanFactor * m_mean + deviationFactor * m_deviation : Duration(initial);
+    auto expected = std::min(learnt, m_objective);
     return std::min(std::max<Duration>(expected, minimum), half);
 }
 
--- a/Libraries/LibDecision/Calls/AttemptTimeout.h
+++ b/Libraries/LibDecision/Calls/AttemptTimeout.h
@@ -17,12 +17,19 @@
     // Used until the first attempt was seen.
     static constexpr Duration initial = 1s;
 
+    // An attempt that takes longer than the objective is given up, whatever was learnt.
+    explicit AttemptTimeout(Duration latencyObjective = Duration::max())
+        : m_objective(latencyObjective)
+    {
+    }
+
     void observe(Duration elapsed);
     // At most half of what is left of the deadline, so that another attempt has the same chance. Nothing if that is
     // too little for an attempt.
     std::optional<Duration> timeout(Duration remaining) const;
 
 private:
+    Duration m_objective;
     Duration m_mean { 0 };
     Duration m_deviation { 0 };
     bool m_hasSample { false };
--- a/Libraries/LibDecision/Calls/AttemptVerdict.cpp
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.cpp
@@ -85,6 +85,8 @@
     case Reason::FairShareExceeded:
     case Reason::BackendDraining:
     case Reason::BackendShedding:
+    case Reason::BackendSuspected:
+    case Reason::BackendBusy:
     case Reason::BackendCold:
     case Reason::ClaimUnavailable:
     case Reason::ProcessLeaving:
--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -27,6 +27,10 @@
     // Where it went; nothing if only a kept answer was asked for.
     std::optional<BackendRecord> backend;
     std::vector<BackendId> tried;
+    // Backend servers whose sidecars refused it lately; they may be asked again after a wait.
+    std::vector<BackendId> refusedBy;
+    // Refusals by sidecars that used up neither sends nor budget.
+    uint32_t reroutes { 0 };
     // True once any send may have run.
     bool mayHaveRun { false };
     // HTTP status of the last answer; 0 if the last send had none.
--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -87,21 +87,32 @@
     // What this process learnt of one service.
     struct ServiceRecord {
         RetryBudget budget;
-        AttemptTimeout timeout;
+        // By route; routes of one service differ in their work.
+        std::unordered_map<std::string, AttemptTimeout> timeouts;
     };
 
     // The answer's way to the caller is left this much of the deadline, so that a sidecar's refusal isn't late.
     static constexpr Duration answerMargin = 5ms;
     // A hint to callers that were refused for a lack of capacity.
     static constexpr Duration retryHint = 1s;
+    // A waiting request looks for a backend server again after this time.
+    static constexpr Duration waitStep = 20ms;
+    // So many sidecars are asked for a free slot before the request queues at one.
+    static constexpr uint32_t freeSlotTries = 3;
 
     CallTerms termsOf(const CallArrived&, const Profile&) const;
     std::optional<Reason> refusalFor(const CallArrived&, const Profile&, Instant now) const;
     void routeFirst(Turn&, CallId, CallRecord&);
+    // Sends the request on after a refusal that reached no backend server. Returns false if the profile doesn't let it.
+    bool reroute(Turn&, CallId, CallRecord&);
+    // Looks for a backend server a little later. Returns false if the request may not wait.
+    bool wait(Turn&, CallId, CallRecord&);
+    void routeAgain(Turn&, CallId, CallRecord&);
     std::optional<RouteChoice> choose(Turn&, const CallRecord&, Reason&);
     void send(Turn&, CallId, CallRecord&, const RouteChoice&);
     void forward(Turn&, CallId, CallRecord&, ForwardCall);
     void redirect(Turn&, CallId, CallRecord&, const InstanceId& keeper);
+    AttemptTimeout& timeoutOf(const CallRecord&);
     void armTimer(CallId, const CallRecord&, Instant now);
 
     void account(Turn&, CallId, CallRecord&, const AttemptReport&);
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -25,7 +25,9 @@
 {
     for (auto id : m_timers.takeDue(turn.now())) {
         auto& call = m_calls.at(id);
-        if (call.deadline <= turn.now())
+        if (call.state == RequestState::Routing)
+            routeAgain(turn, id, call);
+        else if (call.deadline <= turn.now())
             expire(turn, id, call);
         else
             giveUpAttempt(turn, id, call);
@@ -87,7 +89,8 @@
     if (entry == m_calls.end())
         return;
     auto& call = entry->second;
-    abandonAttempt(turn, id, call, AttemptResult::Cancelled);
+    if (call.state == RequestState::Attempting)
+        abandonAttempt(turn, id, call, AttemptResult::Cancelled);
     transition(call, RequestEvent::CallerGone);
     remove(id);
 }
@@ -126,14 +129,53 @@
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::routeFirst(Turn& turn, CallId id, CallRecord& call)
 {
+    m_services[call.request.service].budget.countFirstAttempt(profileOf(call.request.service).retries, turn.now());
     auto choice = choose(turn, call, call.lastReason);
-    if (!choice) {
+    if (choice)
+        send(turn, id, call, *choice);
+    else if (!wait(turn, id, call))
+        conclude(turn, id, call);
+}
+
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+bool CallTable<Routing, Observer, Directory>::reroute(Turn& turn, CallId id, CallRecord& call)
+{
+    if (call.reroutes >= profileOf(call.request.service).retries.reroutes || turn.now() >= call.deadline)
+        return false;
+    ++call.reroutes;
+    --call.attempts;
+    std::erase(call.tried, call.backend->id);
+    call.refusedBy.push_back(call.backend->id);
+    transition(call, RequestEvent::RetryAllowed);
+    Reason reason = Reason::None;
+    auto choice = choose(turn, call, reason);
+    bool isAskedAlready = choice && std::ranges::find(call.refusedBy, choice->backend.id) != call.refusedBy.end();
+    if (choice && !isAskedAlready)
+        send(turn, id, call, *choice);
+    else if (!wait(turn, id, call))
+        conclude(turn, id, call);
+    return true;
+}
+
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+bool CallTable<Routing, Observer, Directory>::wait(Turn& turn, CallId id, CallRecord& call)
+{
+    auto until = std::min(call.deadline, call.arrivedAt + profileOf(call.request.service).capacity.callerWait);
+    if (turn.now() + waitStep >= until)
+        return false;
+    call.refusedBy.clear();
+    m_timers.set(id, turn.now() + waitStep);
+    return true;
+}
+
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+void CallTable<Routing, Observer, Directory>::routeAgain(Turn& turn, CallId id, CallRecord& call)
+{
+    auto choice = choose(turn, call, call.lastReason);
+    if (choice)
+        send(turn, id, call, *choice);
+    else if (!wait(turn, id, call))
         conclude(turn, id, call);
-        return;
-    }
-    auto& service = m_services[call.request.service];
-    service.budget.countFirstAttempt(profileOf(call.request.service).retries, turn.now());
-    send(turn, id, call, *choice);
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
@@ -144,6 +186,7 @@
     request.isIdempotent = call.terms.isIdempotent;
     request.key = call.request.key;
     request.excluded = call.tried;
+    request.excluded.insert(request.excluded.end(), call.refusedBy.begin(), call.refusedBy.end());
     return m_routing.choose(turn, request, reason);
 }
 
@@ -155,6 +198,10 @@
     effect.sidecarControl = choice.sidecarControl;
     effect.backend = choice.backend.id;
     effect.incarnation = choice.backend.incarnation;
+    const auto& profile = profileOf(call.request.service);
+    effect.isOnlyForFreeSlot = call.reroutes < std::min(freeSlotTries, profile.retries.reroutes) && !choice.isFull;
+    effect.isLastResort = choice.faultProbability >= profile.health.faultBound;
+    effect.latencyObjective = call.terms.latencyObjective;
     call.backend = choice.backend;
     call.tried.push_back(choice.backend.id);
     forward(turn, id, call, std::move(effect));
@@ -211,12 +258,19 @@
     auto due = call.deadline;
     bool maySendElsewhere = call.terms.isIdempotent && !call.isReplay() && mayRetry(call, now);
     if (maySendElsewhere) {
-        auto timeout = m_services[call.request.service].timeout.timeout(call.deadline - now);
+        auto timeout = timeoutOf(call).timeout(call.deadline - now);
         due = std::min(due, now + timeout.value_or(call.deadline - now));
     }
     m_timers.set(id, due);
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+AttemptTimeout& CallTable<Routing, Observer, Directory>::timeoutOf(const CallRecord& call)
+{
+    auto& timeouts = m_services[call.request.service].timeouts;
+    return timeouts.try_emplace(call.terms.route, AttemptTimeout(call.terms.latencyObjective)).first->second;
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::account(Turn& turn, CallId id, CallRecord& call, const AttemptReport& report)
 {
@@ -229,7 +283,7 @@
     if (report.result == AttemptResult::Cut || report.reason == Reason::AnswerCut)
         m_crashGuard.recordCut(turn, { call.request.fingerprint, call.backend->id, call.backend->incarnation });
     if (report.result == AttemptResult::Answered || report.result == AttemptResult::TimedOut)
-        m_services[call.request.service].timeout.observe(turn.now() - call.attemptStartedAt);
+        timeoutOf(call).observe(turn.now() - call.attemptStartedAt);
     if (report.result == AttemptResult::Answered)
         m_crashGuard.recordAnswer(turn, call.request.fingerprint);
     m_routing.attemptFinished(turn, call.backend->id, report);
@@ -256,6 +310,8 @@
             answer(turn, id, call);
         return;
     case AttemptVerdict::NotRun:
+        if (report.reason != Reason::BackendShedding && reroute(turn, id, call))
+            return;
         retryOrConclude(turn, id, call, RetryKind::Reroute);
         return;
     case AttemptVerdict::NotRunForGood:
--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -35,6 +35,12 @@
     // Longest time without any progress on the connection.
     Duration progressTimeout { 0 };
     bool isIdempotent { false };
+    // A run that takes longer speaks against the backend server.
+    Duration latencyObjective { 0 };
+    // True if the request goes elsewhere unless a slot is free.
+    bool isOnlyForFreeSlot { false };
+    // True if no backend server looks better, so that suspicion is no reason to refuse.
+    bool isLastResort { false };
     // True if the sidecar is only asked for a kept answer and must not run the request.
     bool isReplayOnly { false };
 };
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -59,6 +59,12 @@
     // The request's remaining deadline is always set.
     RequestInfo request;
     bool isIdempotent { false };
+    // A run that takes longer speaks against the backend server; zero if none does.
+    Duration latencyObjective { 0 };
+    // True if the ingress sends the request elsewhere unless a slot is free.
+    bool isOnlyForFreeSlot { false };
+    // True if the ingress knows no backend server that looks better.
+    bool isLastResort { false };
     // True if only a kept answer is asked for.
     bool isReplayOnly { false };
 };
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -148,7 +148,7 @@
     std::ranges::transform(route->targets, std::back_inserter(weights), &RouteTarget::weight);
     auto target = std::discrete_distribution<size_t>(weights.begin(), weights.end())(turn.random());
     arrived.request.service = route->targets[target].service;
-    arrived.terms = CallTerms { route->isIdempotent, route->timeout, route->latencyObjective, route->priority, route->maximumAttempts };
+    arrived.terms = CallTerms { route->name, route->isIdempotent, route->timeout, route->latencyObjective, route->priority, route->maximumAttempts };
     return std::nullopt;
 }
 
--- a/Libraries/LibDecision/Routing/LoadTable.cpp
+++ b/Libraries/LibDecision/Routing/LoadTable.cpp
@@ -1,5 +1,7 @@
 #include <LibDecision/Routing/LoadTable.h>
 
+#include <LibDecision/Health/FaultFilter.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -115,6 +117,26 @@
     return expectedWait(record, now) + microseconds(serviceTimeOf(record) * (1 + busyWeight * busy + refusals));
 }
 
+Duration LoadTable::expectedBurden(const BackendRecord& record, Instant now) const
+{
+    // A backend server slows down as it fills up, the more the fuller it is.
+    auto busy = std::min(1.0, expectedRequests(record, now) / record.slots);
+    auto load = m_loads.find(record.id);
+    auto refusals = load == m_loads.end() ? 0 : recentRefusals(load->second, now);
+    return expectedWait(record, now) + microseconds(serviceTimeOf(record) * (busy * busy * busy + refusals));
+}
+
+double LoadTable::faultProbability(const BackendRecord& record, Instant now) const
+{
+    // Nothing is held against a backend server that nobody has heard of.
+    constexpr double unheard = 0;
+    auto load = m_loads.find(record.id);
+    bool isHeard = load != m_loads.end() && load->second.report.slots > 0 && load->second.incarnation == record.incarnation;
+    return isHeard ? FaultFilter::decayed(load->second.report.faultProbability, now - load->second.reportedAt) : unheard;
+}
+
+Duration LoadTable::usualTime(const BackendRecord& record) const { return microseconds(serviceTimeOf(record)); }
+
 double LoadTable::recentRefusals(const Load& load, Instant now)
 {
     return load.refusals * std::exp2(-(std::chrono::duration<double>(now - load.refusedAt) / refusalHalfLife));
--- a/Libraries/LibDecision/Routing/LoadTable.h
+++ b/Libraries/LibDecision/Routing/LoadTable.h
@@ -25,6 +25,12 @@
     Duration expectedTime(const BackendRecord&, Instant now) const;
     // How long it would probably wait for a slot.
     Duration expectedWait(const BackendRecord&, Instant now) const;
+    // How long it would probably take more than elsewhere: the wait, and the time lost to requests beside it.
+    Duration expectedBurden(const BackendRecord&, Instant now) const;
+    // How probable it is that the backend server fails its requests now, as its sidecar said last.
+    double faultProbability(const BackendRecord&, Instant now) const;
+    // The time that the service's requests usually take.
+    Duration usualTime(const BackendRecord&) const;
     uint32_t outstanding(const BackendId&) const;
 
 private:
--- a/Libraries/LibDecision/Routing/Router.h
+++ b/Libraries/LibDecision/Routing/Router.h
@@ -36,6 +36,10 @@
     Endpoint sidecarControl;
     // Why it was chosen, for explanations.
     std::string evidence;
+    // The sidecar's probability of a fault, as far as this process knows it.
+    double faultProbability { 0 };
+    // True if every slot seems to be taken.
+    bool isFull { false };
 };
 
 // What the router asks about processes.
@@ -53,9 +57,11 @@
         } -> std::same_as<const MemberRecord&>;
 };
 
-// Chooses the backend server for each send of a call: two candidates are drawn at random from the own zone and two
-// from the others, and the one that would answer soonest is taken. Only if no draw finds a candidate is the whole
-// service looked through.
+// Chooses the backend server for each send of a call. In a service whose profile bounds the probability of faults, and
+// whose size allows it, all candidates are compared by what sending there would cost: waiting, crowding, the way to
+// another zone, the risk of a failure. Otherwise two candidates are drawn at random from the own zone and two from the
+// others, and the one that would answer soonest is taken. Only if no draw finds a candidate is the whole service looked
+// through.
 template <PathView Paths>
 class Router {
 public:
@@ -97,6 +103,9 @@
         bool isOwnZone { false };
     };
 
+    // Candidates that are compared for one request.
+    static constexpr size_t mostCompared = 128;
+
     const CandidateList& candidatesOf(const ServiceName&, Instant now);
     bool isOwnZone(const BackendRecord&) const;
     Usability usability(const BackendRecord&, const Standing&, const RouteRequest&) const;
@@ -104,6 +113,8 @@
     Rated draw(Turn&, Candidates, const RouteRequest&, bool isOwnZone);
     Rated drawOne(Turn&, Candidates, const RouteRequest&, const BackendRecord* other);
     Rated chooseByLoad(Turn&, const CandidateList&, const RouteRequest&);
+    Rated chooseByComparison(Turn&, const CandidateList&, const RouteRequest&);
+    Duration burden(Turn&, const BackendRecord&, const Standing&, const RouteRequest&) const;
     Rated chooseByKey(Turn&, const CandidateList&, const RouteRequest&);
     Rated chooseAmongAll(Turn&, const CandidateList&, const RouteRequest&, Usability worst);
     RouteChoice describe(Turn&, const Rated&, const RouteRequest&) const;
@@ -124,7 +135,11 @@
         return std::nullopt;
     }
     const auto& candidates = candidatesOf(request.service, turn.now());
-    auto chosen = request.key ? chooseByKey(turn, candidates, request) : chooseByLoad(turn, candidates, request);
+    const auto& profile = m_profiles.profile(m_registry.profileOf(request.service));
+    bool isCompared = profile.health.faultBound < 1 && candidates.all().size() <= mostCompared;
+    auto chosen = request.key ? chooseByKey(turn, candidates, request)
+        : isCompared          ? chooseByComparison(turn, candidates, request)
+                              : chooseByLoad(turn, candidates, request);
     if (!chosen.record)
         chosen = chooseAmongAll(turn, candidates, request, Usability::Ejected);
     if (!chosen.record) {
@@ -265,6 +280,38 @@
     return other.cost + crossing < own.cost ? other : own;
 }
 
+template <PathView Paths>
+Duration Router<Paths>::burden(Turn& turn, const BackendRecord& record, const Standing& standing, const RouteRequest& request) const
+{
+    // What a failure costs, in usual times of a request: one that may repeat is sent again, the other is lost.
+    constexpr double costOfRepeating = 1.5;
+    constexpr double costOfLosing = 15;
+    // Keeps processes that know the same from choosing the same.
+    constexpr double scatter = 0.1;
+    std::uniform_real_distribution<double> anyShare(0, 1);
+    auto usual = std::chrono::duration<double, Duration::period>(m_loads.usualTime(record));
+    auto risk = m_loads.faultProbability(record, turn.now()) * (request.isIdempotent ? costOfRepeating : costOfLosing);
+    auto warmUp = 1 / std::max(standing.share * std::min(1.0, record.weight), 0.1) - 1;
+    auto time = usual * (risk + warmUp + scatter * anyShare(turn.random()));
+    auto crossing = isOwnZone(record) ? Duration::zero() : m_profiles.profile(m_registry.profileOf(request.service)).placement.zoneCrossingCost;
+    return m_loads.expectedBurden(record, turn.now()) + std::chrono::duration_cast<Duration>(time) + crossing;
+}
+
+template <PathView Paths>
+typename Router<Paths>::Rated Router<Paths>::chooseByComparison(Turn& turn, const CandidateList& candidates, const RouteRequest& request)
+{
+    Rated best;
+    for (auto record : candidates.all()) {
+        auto standing = m_health.standing(record->id, turn.now());
+        if (usability(*record, standing, request) != Usability::Usable)
+            continue;
+        Rated rated { record, burden(turn, *record, standing, request), isOwnZone(*record) };
+        if (!best.record || rated.cost < best.cost)
+            best = rated;
+    }
+    return best;
+}
+
 template <PathView Paths>
 typename Router<Paths>::Rated Router<Paths>::chooseByKey(Turn& turn, const CandidateList& candidates, const RouteRequest& request)
 {
@@ -318,7 +365,10 @@
              << m_loads.expectedRequests(record, turn.now()) << " requests at " << record.slots << " slots, "
              << (rated.isOwnZone ? "own zone" : "another zone") << ", " << request.excluded.size() << " tried before";
     auto member = m_paths.find(record.sidecar);
-    return { record, record.sidecar, member ? member->control : Endpoint {}, evidence.str() };
+    RouteChoice choice { record, record.sidecar, member ? member->control : Endpoint {}, evidence.str() };
+    choice.faultProbability = m_loads.faultProbability(record, turn.now());
+    choice.isFull = m_loads.expectedRequests(record, turn.now()) + 1 > record.slots;
+    return choice;
 }
 
 }
--- a/Libraries/LibModel/Profile.cpp
+++ b/Libraries/LibModel/Profile.cpp
@@ -21,6 +21,7 @@
         policy.probePath = reader.stringOr("probe-path", policy.probePath);
         if (!policy.probePath.empty() && policy.probePath.front() != '/')
             reader.fail("probe-path", "does not begin with /", "a path, or an empty text for no probes");
+        policy.faultBound = reader.number("fault-bound", 0, 1, policy.faultBound);
         if (policy.maximumEjectionTime < policy.ejectionTime)
             reader.fail("maximum-ejection-time", "shorter than ejection-time", "ejection-time or longer");
         reader.finish();
@@ -30,6 +31,7 @@
     CapacityPolicy readCapacity(YamlReader reader)
     {
         CapacityPolicy policy;
+        policy.callerWait = reader.duration("caller-wait", 0s, 1h, policy.callerWait);
         policy.queueLength = reader.wholeNumber("queue-length", 0, 10'000, policy.queueLength);
         policy.queueTimeout = reader.duration("queue-timeout", 0s, 1min, policy.queueTimeout);
         policy.connections = reader.wholeNumber("connections", 1, 10'000, policy.connections);
@@ -54,6 +56,7 @@
     {
         RetryPolicy policy;
         policy.maximumAttempts = reader.wholeNumber("maximum-attempts", 1, 10, policy.maximumAttempts);
+        policy.reroutes = reader.wholeNumber("reroutes", 0, 100, policy.reroutes);
         policy.budget = reader.number("budget", 0, 1, policy.budget);
         policy.minimumPerSecond = reader.number("minimum-per-second", 0, 100, policy.minimumPerSecond);
         reader.finish();
@@ -235,8 +238,10 @@
         .entry("ejection-time", DurationText(profile.health.ejectionTime))
         .entry("maximum-ejection-time", DurationText(profile.health.maximumEjectionTime))
         .entry("probe-interval", DurationText(profile.health.probeInterval))
-        .entry("probe-path", profile.health.probePath);
+        .entry("probe-path", profile.health.probePath)
+        .entry("fault-bound", profile.health.faultBound);
     SectionWriter(emitter, "capacity")
+        .entry("caller-wait", DurationText(profile.capacity.callerWait))
         .entry("queue-length", profile.capacity.queueLength)
         .entry("queue-timeout", DurationText(profile.capacity.queueTimeout))
         .entry("connections", profile.capacity.connections)
@@ -247,6 +252,7 @@
         .entry("progress-timeout", DurationText(profile.deadlines.progressTimeout));
     SectionWriter(emitter, "retries")
         .entry("maximum-attempts", profile.retries.maximumAttempts)
+        .entry("reroutes", profile.retries.reroutes)
         .entry("budget", profile.retries.budget)
         .entry("minimum-per-second", profile.retries.minimumPerSecond);
     writeIdempotency(emitter, profile.idempotency);
--- a/Libraries/LibModel/Profile.h
+++ b/Libraries/LibModel/Profile.h
@@ -42,9 +42,14 @@
     Duration probeInterval { 10s };
     // Path that a probe asks for; probes are off if empty.
     std::string probePath { "/health" };
+    // A sidecar refuses requests that may not repeat while its backend server is sick with this probability or more;
+    // 1 means never.
+    double faultBound { 1 };
 };
 
 struct CapacityPolicy {
+    // Longest time that a request waits at its ingress for a backend server that may take it; zero refuses at once.
+    Duration callerWait { 0s };
     // Requests that may wait per backend server.
     uint32_t queueLength { 6 };
     // Longest wait in that queue.
@@ -67,6 +72,9 @@
 struct RetryPolicy {
     // Sends of one request, the first included.
     uint32_t maximumAttempts { 3 };
+    // Refusals by sidecars that a request may meet beyond its sends. They reach no backend server, so they use up
+    // neither sends nor budget; zero lets them.
+    uint32_t reroutes { 0 };
     // Retries per first attempt that a process may add, 0 to 1.
     double budget { 0.1 };
     // Retries per second that are allowed even with little traffic.
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -132,6 +132,9 @@
     order.request = call.info;
     order.request.remaining = effect.remaining;
     order.isIdempotent = effect.isIdempotent;
+    order.latencyObjective = effect.latencyObjective;
+    order.isOnlyForFreeSlot = effect.isOnlyForFreeSlot;
+    order.isLastResort = effect.isLastResort;
     order.isReplayOnly = effect.isReplayOnly;
     return order;
 }
--- a/Services/fulmard/SidecarCalls.cpp
+++ b/Services/fulmard/SidecarCalls.cpp
@@ -45,6 +45,9 @@
     arrived.incarnation = order.backendIncarnation;
     arrived.request = order.request;
     arrived.isIdempotent = order.isIdempotent;
+    arrived.latencyObjective = order.latencyObjective;
+    arrived.isOnlyForFreeSlot = order.isOnlyForFreeSlot;
+    arrived.isLastResort = order.isLastResort;
     arrived.isReplayOnly = order.isReplayOnly;
     m_sink(std::move(arrived));
     return id;
