LibDecision: Share the retry budget among the fleet

Cause: each process had a retry allowance of its own, so 24 of them broke the users' bound of 60 extra arrivals in 10 s; calls that running requests make counted as callers' requests. SIGHUP ended the process. Change: a profile may bound the fleet's extra retries in a window, and each process takes its part; nested calls bring no allowance; SIGHUP reads the settings again.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -33,6 +33,7 @@
     archive.field("path", value.path);
     archive.field("account", value.account);
     archive.field("key", value.key);
+    archive.field("parent", value.parent);
     archive.field("remaining", value.remaining);
     archive.field("fingerprint", value.fingerprint);
 }
--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -15,6 +15,7 @@
 #include <LibDecision/Turn.h>
 
 #include <concepts>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -68,6 +69,9 @@
 public:
     CallTable(Routing&, Observer&, CrashGuard&, const Directory&, const ProfileBook&, CallTableOptions = {});
 
+    // Tells how many processes share the fleet's bounds. Without it this one is alone.
+    void useFleetSize(std::function<size_t()> fleetSize) { m_fleetSize = std::move(fleetSize); }
+
     std::optional<Instant> nextTimer() const { return m_timers.next(); }
     void handleTimer(Turn&);
 
@@ -140,6 +144,7 @@
     const ProfileBook& m_profiles;
     TypedChart<RequestState, RequestEvent> m_chart;
     CallLimit m_limit;
+    std::function<size_t()> m_fleetSize { [] { return size_t(1); } };
     std::unordered_map<CallId, CallRecord> m_calls;
     // Only services that a request was sent to.
     std::unordered_map<ServiceName, ServiceRecord> m_services;
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -129,7 +129,9 @@
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::routeFirst(Turn& turn, CallId id, CallRecord& call)
 {
-    m_services[call.request.service].budget.countFirstAttempt(profileOf(call.request.service).retries, turn.now());
+    // A call that a running request makes is no caller's request.
+    if (!call.request.parent)
+        m_services[call.request.service].budget.countFirstAttempt(profileOf(call.request.service).retries, m_fleetSize(), turn.now());
     auto choice = choose(turn, call, call.lastReason);
     if (choice)
         send(turn, id, call, *choice);
@@ -349,7 +351,7 @@
     if (!choice)
         return false;
     auto& budget = m_services[call.request.service].budget;
-    if (!budget.take(kind, profileOf(call.request.service).retries, turn.now())) {
+    if (!budget.take(kind, profileOf(call.request.service).retries, m_fleetSize(), turn.now())) {
         explain(turn, DecisionKind::RequestRefused, call, "retry", std::string(nameOf(Reason::RetryBudgetExhausted)));
         return false;
     }
@@ -372,7 +374,7 @@
     Reason reason = Reason::None;
     auto choice = mayRetry(call, turn.now()) ? choose(turn, call, reason) : std::nullopt;
     bool isElsewhere = choice && choice->backend.id != call.backend->id;
-    if (!isElsewhere || !m_services[call.request.service].budget.take(RetryKind::Rerun, profileOf(call.request.service).retries, turn.now())) {
+    if (!isElsewhere || !m_services[call.request.service].budget.take(RetryKind::Rerun, profileOf(call.request.service).retries, m_fleetSize(), turn.now())) {
         armTimer(id, call, turn.now());
         return;
     }
--- a/Libraries/LibDecision/Calls/TokenBucket.cpp
+++ b/Libraries/LibDecision/Calls/TokenBucket.cpp
@@ -9,6 +9,12 @@
 {
 }
 
+void TokenBucket::setLimit(double limit)
+{
+    m_limit = limit;
+    m_tokens = std::min(m_tokens, m_limit);
+}
+
 void TokenBucket::deposit(double tokens)
 {
     m_tokens = std::min(m_limit, m_tokens + tokens);
--- a/Libraries/LibDecision/Calls/TokenBucket.h
+++ b/Libraries/LibDecision/Calls/TokenBucket.h
@@ -11,6 +11,8 @@
 public:
     explicit TokenBucket(double limit);
 
+    // Tokens beyond a lower limit are lost.
+    void setLimit(double limit);
     void deposit(double tokens);
     // Adds what the rate gives since the last call; the first call adds one second's tokens.
     void fill(double tokensPerSecond, Instant now);
--- a/Libraries/LibDecision/Configuration/ProfileBook.h
+++ b/Libraries/LibDecision/Configuration/ProfileBook.h
@@ -32,6 +32,7 @@
     std::vector<const ProfileInForce*> all() const;
 
     void put(ProfileInForce);
+    void setDefaults(Profile defaults) { m_defaults = std::move(defaults); }
     // Takes what operators published of a service beside its routes.
     void putTerms(const ServiceTerms&);
 
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -108,7 +108,13 @@
     BackendId backend;
 };
 
+// The process's settings were read again.
+struct DefaultsChanged {
+    Profile defaults;
+};
+
 using Input = std::variant<MessageReceived, TimerFired, SendFailed, CallArrived, CallerGone, AttemptFinished, SidecarCallArrived,
-    SidecarCallCancelled, RunFinished, ProbeFinished, BackendAnnounced, BackendWithdrawn, PlatformReplied, LeaveRequested, DrainRequested>;
+    SidecarCallCancelled, RunFinished, ProbeFinished, BackendAnnounced, BackendWithdrawn, PlatformReplied, LeaveRequested, DrainRequested,
+    DefaultsChanged>;
 
 }
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -29,6 +29,7 @@
     , m_calls(m_router, m_health, m_crashGuard, m_registry, m_profiles, { options.concurrentCalls })
 {
     m_health.useReachability([this](const InstanceId& instance) { return m_membership.isReachable(instance); });
+    m_calls.useFleetSize([this] { return m_membership.liveMembers().size(); });
 }
 
 EffectList NodeState::start(Instant now)
@@ -219,6 +220,13 @@
     m_localBackends.drain(turn, requested.backend);
 }
 
+void NodeState::receive(Turn&, const DefaultsChanged& changed)
+{
+    m_profiles.setDefaults(changed.defaults);
+    if (m_routes.table())
+        std::ranges::for_each(m_routes.table()->services, [this](const ServiceTerms& terms) { m_profiles.putTerms(terms); });
+}
+
 void NodeState::learn(Turn& turn, const MemberRecord& record) { m_membership.apply(turn, record); }
 
 void NodeState::learn(Turn& turn, const BackendRecord& record)
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -64,6 +64,7 @@
     void receive(Turn&, const PlatformReplied&);
     void receive(Turn&, const LeaveRequested&);
     void receive(Turn&, const DrainRequested&);
+    void receive(Turn&, const DefaultsChanged&);
 
     void learn(Turn&, const MemberRecord&);
     void learn(Turn&, const BackendRecord&);
--- a/Libraries/LibModel/Profile.cpp
+++ b/Libraries/LibModel/Profile.cpp
@@ -59,6 +59,8 @@
         policy.reroutes = reader.wholeNumber("reroutes", 0, 100, policy.reroutes);
         policy.budget = reader.number("budget", 0, 1, policy.budget);
         policy.minimumPerSecond = reader.number("minimum-per-second", 0, 100, policy.minimumPerSecond);
+        policy.fleetExtra = reader.wholeNumber("fleet-extra", 0, 1'000'000, policy.fleetExtra);
+        policy.window = reader.duration("window", 1s, 1h, policy.window);
         reader.finish();
         return policy;
     }
@@ -254,7 +256,9 @@
         .entry("maximum-attempts", profile.retries.maximumAttempts)
         .entry("reroutes", profile.retries.reroutes)
         .entry("budget", profile.retries.budget)
-        .entry("minimum-per-second", profile.retries.minimumPerSecond);
+        .entry("minimum-per-second", profile.retries.minimumPerSecond)
+        .entry("fleet-extra", profile.retries.fleetExtra)
+        .entry("window", DurationText(profile.retries.window));
     writeIdempotency(emitter, profile.idempotency);
     SectionWriter(emitter, "fairness")
         .entry("maximum-account-share", profile.fairness.maximumAccountShare);
--- a/Libraries/LibModel/Request.h
+++ b/Libraries/LibModel/Request.h
@@ -53,6 +53,8 @@
     std::string path;
     AccountId account;
     std::optional<IdempotencyKey> key;
+    // The running request that makes this one as a call of its own; nothing if a caller sent it.
+    std::optional<RequestId> parent;
     // What is left of the caller's deadline; nothing if the caller gave none.
     std::optional<Duration> remaining;
     Fingerprint fingerprint;
--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -44,6 +44,7 @@
         EdgeSettings settings;
         settings.requestId = reader.stringOr("request-id", settings.requestId);
         settings.hasCallerRequestIds = reader.boolean("caller-request-ids", settings.hasCallerRequestIds);
+        settings.parentSeparator = reader.stringOr("parent-separator", settings.parentSeparator);
         settings.deadline = reader.stringOr("deadline", settings.deadline);
         settings.expectedBackend = reader.stringOr("expected-backend", settings.expectedBackend);
         settings.callerService = reader.stringOr("caller-service", settings.callerService);
--- a/Libraries/LibModel/Settings.h
+++ b/Libraries/LibModel/Settings.h
@@ -103,6 +103,8 @@
     std::string requestId { "fulmar-request-id" };
     // Whether callers choose the id, which is then different for each request.
     bool hasCallerRequestIds { false };
+    // Between the id of a running request and the rest of the id of a call that it makes; empty if ids don't tell.
+    std::string parentSeparator;
     // What is left of the deadline, in whole milliseconds.
     std::string deadline { "fulmar-deadline-ms" };
     // Tells the backend server which one is meant; another one refuses.
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -144,6 +144,20 @@
     m_driver.handle(Decision::LeaveRequested {});
 }
 
+void Daemon::reload(const std::function<Settings()>& read)
+{
+    Telemetry::LogRecord record { Telemetry::LogLevel::Info, "settings-reloaded", {} };
+    try {
+        auto settings = read();
+        m_driver.handle(Decision::DefaultsChanged { settings.defaultProfile });
+        record.fields = { { "outcome", "in-force" }, { "evidence", "the default profile is in force; listeners and peers stay until a restart" } };
+    } catch (const Model::Error& error) {
+        record.level = Telemetry::LogLevel::Error;
+        record.fields = { { "outcome", "refused" }, { "step", error.step() }, { "peer", error.peer() }, { "evidence", error.what() } };
+    }
+    m_observability.log().write(m_loop.now(), std::move(record));
+}
+
 void Daemon::logUnfinished()
 {
     Telemetry::LogRecord record { Telemetry::LogLevel::Warn, "leave-forced", {} };
--- a/Services/fulmard/Daemon.h
+++ b/Services/fulmard/Daemon.h
@@ -52,6 +52,9 @@
     Daemon& operator=(const Daemon&) = delete;
 
     void start();
+    // Reads the settings again. Those that can be changed without a restart come in force; if they can't be read, the
+    // old ones stay.
+    void reload(const std::function<Settings()>& read);
     // Logs what would be cut if the process ended now.
     void logUnfinished();
     // Takes no new requests, finishes those in flight and hands over; onLeft follows.
--- a/Services/fulmard/RequestReader.cpp
+++ b/Services/fulmard/RequestReader.cpp
@@ -84,6 +84,7 @@
         info.id = RequestId(readName(request, m_edge.requestId.c_str(), ""));
     if (info.id.isEmpty())
         info.id = makeRequestId();
+    info.parent = parentOf(info.id);
     info.service = ServiceName(readName(request, CallerHeader::service, firstLabel(request.authority)));
     info.account = AccountId(readName(request, CallerHeader::account, request.peerAddress));
     info.method = enumFromName<Method>(request.method).value_or(Method::Other);
@@ -99,6 +100,12 @@
     return info;
 }
 
+std::optional<RequestId> RequestReader::parentOf(const RequestId& id) const
+{
+    auto end = m_edge.parentSeparator.empty() ? std::string::npos : id.value().find(m_edge.parentSeparator);
+    return end == std::string::npos ? std::nullopt : std::optional(RequestId(id.value().substr(0, end)));
+}
+
 RequestId RequestReader::makeRequestId()
 {
     std::array<char, 33> text {};
--- a/Services/fulmard/RequestReader.h
+++ b/Services/fulmard/RequestReader.h
@@ -38,6 +38,7 @@
 
 private:
     RequestId makeRequestId();
+    std::optional<RequestId> parentOf(const RequestId&) const;
 
     EdgeSettings m_edge;
     std::mt19937_64 m_random;
--- a/Services/fulmard/main.cpp
+++ b/Services/fulmard/main.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <functional>
 #include <iostream>
 #include <random>
 
@@ -64,8 +65,10 @@
     return PlatformAdapter::readNodeFile(Model::readTextFile(path), path);
 }
 
-void runDaemon(const Model::Settings& settings)
+// The reader gives the settings anew, for a reload.
+void runDaemon(const std::function<Model::Settings()>& readSettings)
 {
+    auto settings = readSettings();
     Transport::EventLoop loop;
     Fulmard::DaemonOptions options;
     options.settings = settings;
@@ -88,6 +91,7 @@
     };
     loop.onSignal(SIGTERM, leave);
     loop.onSignal(SIGINT, leave);
+    loop.onSignal(SIGHUP, [&] { daemon.reload(readSettings); });
     daemon.start();
     loop.run();
 }
@@ -113,7 +117,7 @@
             std::cout << settings.instance << ": the settings are accepted\n";
             return 0;
         }
-        runDaemon(settings);
+        runDaemon([&] { return readSettings(arguments); });
         return 0;
     } catch (const Model::DocumentError& error) {
         std::cerr << "fulmard: " << error.what() << "\n";
