--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -121,6 +121,7 @@
 
     void account(Turn&, CallId, CallRecord&, const AttemptReport&);
     void handleVerdict(Turn&, CallId, CallRecord&, const AttemptReport&);
+    RetryKind kindAfterRefusal(const CallRecord&, const AttemptReport&) const;
     bool mayRetry(const CallRecord&, Instant now) const;
     bool retry(Turn&, CallId, CallRecord&, RetryKind);
     void retryOrConclude(Turn&, CallId, CallRecord&, RetryKind);
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -314,7 +314,7 @@
     case AttemptVerdict::NotRun:
         if (report.reason != Reason::BackendShedding && reroute(turn, id, call))
             return;
-        retryOrConclude(turn, id, call, RetryKind::Reroute);
+        retryOrConclude(turn, id, call, kindAfterRefusal(call, report));
         return;
     case AttemptVerdict::NotRunForGood:
         conclude(turn, id, call);
@@ -332,6 +332,14 @@
     }
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+RetryKind CallTable<Routing, Observer, Directory>::kindAfterRefusal(const CallRecord& call, const AttemptReport& report) const
+{
+    // A bound of the whole fleet counts every arrival at a backend server, also one that it rejects.
+    bool countsArrivals = profileOf(call.request.service).retries.fleetExtra > 0;
+    return countsArrivals && report.reason == Reason::BackendShedding ? RetryKind::Rerun : RetryKind::Reroute;
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 bool CallTable<Routing, Observer, Directory>::mayRetry(const CallRecord& call, Instant now) const
 {
