LibDecision: Settle what became of a request that may not run twice

Cause: an ingress whose connection to a sidecar broke or went silent could only answer unknown, though the sidecar knew the outcome. Orders that are late are asked for again at the route's objective. Logs go to standard output and never wait for its reader.

--- a/Libraries/LibControl/RunEnvelope.cpp
+++ b/Libraries/LibControl/RunEnvelope.cpp
@@ -28,6 +28,8 @@
     archive.field("isOnlyForFreeSlot", value.isOnlyForFreeSlot);
     archive.field("isLastResort", value.isLastResort);
     archive.field("isReplayOnly", value.isReplayOnly);
+    archive.field("attempt", value.attempt);
+    archive.field("firstSentAgo", value.firstSentAgo);
 }
 
 template <typename Archive>
--- a/Libraries/LibControl/RunEnvelope.h
+++ b/Libraries/LibControl/RunEnvelope.h
@@ -29,6 +29,9 @@
     bool isOnlyForFreeSlot { false };
     bool isLastResort { false };
     bool isReplayOnly { false };
+    // Numbers the orders of one start of the sender that may be sent again; 0 if this one may not.
+    Model::AttemptId attempt;
+    Model::Duration firstSentAgo { 0 };
 
     bool operator==(const RunOrder&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibDecision/Admission/RunLedger.cpp
@@ -0,0 +1,45 @@
+#include <LibDecision/Admission/RunLedger.h>
+
+namespace Decision {
+
+const RunEntry* RunLedger::find(const RunKey& key) const
+{
+    auto entry = m_entries.find(key);
+    return entry == m_entries.end() ? nullptr : &entry->second;
+}
+
+void RunLedger::begin(const RunKey& key, SidecarCallId call)
+{
+    m_entries[key] = RunEntry { call };
+    m_keys[call] = key;
+}
+
+void RunLedger::end(SidecarCallId call, RunFate fate, Reason reason, Instant now)
+{
+    auto key = m_keys.extract(call);
+    if (key.empty())
+        return;
+    auto& entry = m_entries.at(key.mapped());
+    entry.fate = fate;
+    entry.reason = reason;
+    m_ended.push_back({ key.mapped(), now });
+}
+
+std::optional<Instant> RunLedger::nextTimer() const
+{
+    return m_ended.empty() ? std::nullopt : std::optional(m_ended.front().at + memory);
+}
+
+std::vector<SidecarCallId> RunLedger::forgetOld(Instant now)
+{
+    std::vector<SidecarCallId> answered;
+    while (!m_ended.empty() && m_ended.front().at + memory <= now) {
+        auto entry = m_entries.extract(m_ended.front().key);
+        if (entry.mapped().fate == RunFate::Answered)
+            answered.push_back(entry.mapped().call);
+        m_ended.pop_front();
+    }
+    return answered;
+}
+
+}
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -4,6 +4,7 @@
 #include <LibDecision/Admission/AdmittedCall.h>
 #include <LibDecision/Admission/ColdStartRamp.h>
 #include <LibDecision/Admission/CrashGuard.h>
+#include <LibDecision/Admission/RunLedger.h>
 #include <LibDecision/Configuration/ProfileBook.h>
 #include <LibDecision/Input.h>
 #include <LibDecision/Registry/LocalBackends.h>
@@ -61,6 +62,9 @@
 public:
     SidecarAdmission(LocalBackends&, const ProfileBook&, CrashGuard&, Gate&, Observer&);
 
+    // The instant is that of the process's start.
+    void start(Instant now) { m_startedAt = now; }
+
     std::optional<Instant> nextTimer() const;
     void handleTimer(Turn&);
 
@@ -92,6 +96,8 @@
     static constexpr int serviceTimeSamples = 8;
 
     void endWait(Turn&, SidecarCallId);
+    // Handles an order that came before, or that an earlier process may have got. Returns false if it is new.
+    bool settle(Turn&, const SidecarCallArrived&);
     void replay(Turn&, const SidecarCallArrived&);
     std::optional<Reason> refusalFor(Turn&, const SidecarCallArrived&) const;
     std::optional<Reason> obstacleTo(const AdmittedCall&, Instant now) const;
@@ -109,6 +115,7 @@
 
     void decideOtherwise(Turn&, const ClaimDecision&);
     void withdrawClaim(Turn&, SidecarCallId, Verdict);
+    void finishSettled(Turn&, SidecarCallId, Verdict);
     void finishClaimed(Turn&, SidecarCallId, Outcome);
     void settleUsage(const AdmittedCall&, const RunReport&, Instant now);
     // Whether the probability of a fault forbids the request.
@@ -136,6 +143,8 @@
     Gate& m_gate;
     Observer& m_observer;
     AccountUsage m_usage;
+    RunLedger m_ledger;
+    Instant m_startedAt;
     std::unordered_map<SidecarCallId, AdmittedCall> m_calls;
     std::unordered_map<BackendId, BackendOccupancy> m_occupancies;
     // Ends of waits, for the queue and for claims.
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -24,12 +24,14 @@
 template <ClaimGate Gate, RunObserver Observer>
 std::optional<Instant> SidecarAdmission<Gate, Observer>::nextTimer() const
 {
-    return earliest(m_lateTimers.next(), earliest(m_waits.next(), m_rampSteps.next()));
+    return earliest(earliest(m_ledger.nextTimer(), m_lateTimers.next()), earliest(m_waits.next(), m_rampSteps.next()));
 }
 
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::handleTimer(Turn& turn)
 {
+    for (auto call : m_ledger.forgetOld(turn.now()))
+        turn.emit(ForgetAnswer { call });
     for (auto call : m_lateTimers.takeDue(turn.now()))
         noteLate(call, turn.now());
     for (auto call : m_waits.takeDue(turn.now()))
@@ -64,6 +66,8 @@
         ++m_strayInputs;
         return;
     }
+    if (arrival.key && settle(turn, arrival))
+        return;
     bool isKeyed = arrival.request.key && !arrival.isIdempotent;
     if (arrival.isReplayOnly || (isKeyed && m_gate.findKeptAnswer(arrival.request))) {
         replay(turn, arrival);
@@ -86,6 +90,8 @@
     if (isNew)
         occupancy.incarnation = arrival.incarnation;
     auto& call = m_calls.emplace(arrival.call, std::move(admitted)).first->second;
+    if (arrival.key)
+        m_ledger.begin(*arrival.key, arrival.call);
     if (occupancy.queue.isEmpty() && hasSlotFor(call, turn.now()))
         start(turn, arrival.call, call);
     else if (arrival.isOnlyForFreeSlot)
@@ -94,6 +100,37 @@
         enqueue(turn, arrival.call, call);
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+bool SidecarAdmission<Gate, Observer>::settle(Turn& turn, const SidecarCallArrived& arrival)
+{
+    const auto* known = m_ledger.find(*arrival.key);
+    if (!known) {
+        // An earlier process at this place may have run it and has taken its memory along.
+        bool mayHaveRunBefore = arrival.firstSentAgo > Duration::zero() && turn.now() - m_startedAt < arrival.firstSentAgo;
+        if (mayHaveRunBefore)
+            tellRefusal(turn, arrival.call, arrival.backend, arrival.request, { Outcome::Unknown, Reason::PeerRestarted }, "settle");
+        return mayHaveRunBefore;
+    }
+    switch (known->fate) {
+    case RunFate::Underway:
+        m_calls.at(known->call).isCancelled = false;
+        turn.emit(AdoptSidecarCall { arrival.call, known->call });
+        explain(turn, DecisionKind::RequestSettled, arrival.backend, arrival.request, "settle", "it is under way");
+        return true;
+    case RunFate::Answered:
+        turn.emit(ReplaySidecarCall { arrival.call, known->call, load(arrival.backend, turn.now()) });
+        explain(turn, DecisionKind::RequestSettled, arrival.backend, arrival.request, "settle", "its answer is kept");
+        return true;
+    case RunFate::NotRun:
+        tellRefusal(turn, arrival.call, arrival.backend, arrival.request, { Outcome::NotRun, known->reason }, "settle");
+        return true;
+    case RunFate::Unknown:
+        tellRefusal(turn, arrival.call, arrival.backend, arrival.request, { Outcome::Unknown, known->reason }, "settle");
+        return true;
+    }
+    return true;
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::cancel(Turn& turn, SidecarCallId call)
 {
@@ -109,6 +146,7 @@
     auto backend = admitted.backend;
     switch (admitted.stage) {
     case AdmissionStage::Queued:
+        m_ledger.end(call, RunFate::NotRun, Reason::CallerGone, turn.now());
         release(call);
         backendChanged(turn, backend);
         return;
@@ -116,7 +154,8 @@
         withdrawClaim(turn, call, { Outcome::NotRun, Reason::CallerGone });
         return;
     case AdmissionStage::Running:
-        if (admitted.needsClaim())
+        // Its ingress may ask again over another connection.
+        if (admitted.needsClaim() || m_ledger.holds(call))
             return;
         turn.emit(CancelRun { call });
         m_waits.set(call, turn.now() + cancellationGrace);
@@ -176,6 +215,8 @@
         dropCohort(turn, admitted);
     if (admitted.needsClaim())
         finishClaimed(turn, call, verdictOf(report).outcome);
+    if (m_ledger.holds(call))
+        finishSettled(turn, call, verdictOf(report));
     if (!admitted.isCancelled)
         tellOutcome(turn, call, admitted, report);
     backendChanged(turn, admitted.backend);
@@ -476,6 +517,17 @@
     m_gate.finished(turn, call, outcome);
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::finishSettled(Turn& turn, SidecarCallId call, Verdict verdict)
+{
+    if (verdict.outcome == Outcome::Answered)
+        turn.emit(KeepAnswer { call });
+    auto fate = verdict.outcome == Outcome::Answered ? RunFate::Answered
+        : verdict.outcome == Outcome::NotRun         ? RunFate::NotRun
+                                                     : RunFate::Unknown;
+    m_ledger.end(call, fate, verdict.reason, turn.now());
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::settleUsage(const AdmittedCall& admitted, const RunReport& report, Instant now)
 {
@@ -508,6 +560,7 @@
 {
     auto refused = admitted;
     m_calls.erase(call);
+    m_ledger.end(call, RunFate::NotRun, Reason::BackendBusy, turn.now());
     tellRefusal(turn, call, refused.backend, refused.request, { Outcome::NotRun, Reason::BackendBusy }, "admit");
 }
 
@@ -584,6 +637,7 @@
 {
     auto admitted = m_calls.at(call);
     release(call);
+    m_ledger.end(call, verdict.outcome == Outcome::NotRun ? RunFate::NotRun : RunFate::Unknown, verdict.reason, turn.now());
     if (!admitted.isCancelled)
         tellRefusal(turn, call, admitted.backend, admitted.request, verdict, step);
 }
--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/CallTerms.h>
+#include <LibDecision/Effect.h>
 #include <LibDecision/Calls/RequestState.h>
 #include <LibDecision/Message.h>
 #include <LibModel/Request.h>
@@ -24,6 +25,10 @@
     // The send that is under way.
     AttemptId attempt;
     Instant attemptStartedAt;
+    // What was sent.
+    ForwardCall order;
+    // Orders that were sent again because the connection was in doubt.
+    uint32_t settlements { 0 };
     // Where it went; nothing if only a kept answer was asked for.
     std::optional<BackendRecord> backend;
     std::vector<BackendId> tried;
--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -101,6 +101,8 @@
     static constexpr Duration retryHint = 1s;
     // A waiting request looks for a backend server again after this time.
     static constexpr Duration waitStep = 20ms;
+    // An order whose connection failed is sent again after this time, so that a dead process isn't asked without pause.
+    static constexpr Duration settlePause = 50ms;
     // So many sidecars are asked for a free slot before the request queues at one.
     static constexpr uint32_t freeSlotTries = 3;
 
@@ -124,6 +126,10 @@
     RetryKind kindAfterRefusal(const CallRecord&, const AttemptReport&) const;
     bool mayRetry(const CallRecord&, Instant now) const;
     bool retry(Turn&, CallId, CallRecord&, RetryKind);
+    // Whether what became of the send under way can be asked for.
+    bool canSettle(const CallRecord&, Instant now) const;
+    // Asks the sidecar again over another connection.
+    void settle(Turn&, CallId, CallRecord&);
     void retryOrConclude(Turn&, CallId, CallRecord&, RetryKind);
     void giveUpAttempt(Turn&, CallId, CallRecord&);
     void expire(Turn&, CallId, CallRecord&);
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -29,6 +29,8 @@
             routeAgain(turn, id, call);
         else if (call.deadline <= turn.now())
             expire(turn, id, call);
+        else if (canSettle(call, turn.now()))
+            settle(turn, id, call);
         else
             giveUpAttempt(turn, id, call);
     }
@@ -104,6 +106,12 @@
         return;
     }
     auto& call = entry->second;
+    bool isPathLost = !finished.report.hasLoad && verdictOf(finished.report) != AttemptVerdict::Deliver;
+    bool mayHaveArrived = verdictOf(finished.report) == AttemptVerdict::MayHaveRun || call.settlements > 0;
+    if (isPathLost && mayHaveArrived && canSettle(call, turn.now())) {
+        m_timers.set(finished.call, std::min(call.deadline, turn.now() + settlePause));
+        return;
+    }
     account(turn, finished.call, call, finished.report);
     handleVerdict(turn, finished.call, call, finished.report);
 }
@@ -227,6 +235,9 @@
     effect.remaining = remaining - std::min<Duration>(answerMargin, remaining / 10);
     effect.progressTimeout = profileOf(call.request.service).deadlines.progressTimeout;
     effect.isIdempotent = call.terms.isIdempotent;
+    effect.isSettled = canSettle(call, turn.now());
+    call.order = effect;
+    call.settlements = 0;
     turn.emit(std::move(effect));
     armTimer(id, call, turn.now());
 }
@@ -263,6 +274,9 @@
         auto timeout = timeoutOf(call).timeout(call.deadline - now);
         due = std::min(due, now + timeout.value_or(call.deadline - now));
     }
+    // A connection that went silent shows only by an answer that doesn't come.
+    if (canSettle(call, now))
+        due = std::min(due, now + std::max<Duration>(call.terms.latencyObjective, settlePause));
     m_timers.set(id, due);
 }
 
@@ -368,6 +382,24 @@
     return true;
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+bool CallTable<Routing, Observer, Directory>::canSettle(const CallRecord& call, Instant now) const
+{
+    return !call.terms.isIdempotent && !call.isReplay() && profileOf(call.request.service).retries.settles && now < call.deadline;
+}
+
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+void CallTable<Routing, Observer, Directory>::settle(Turn& turn, CallId id, CallRecord& call)
+{
+    ++call.settlements;
+    auto effect = call.order;
+    effect.remaining = call.deadline - turn.now();
+    effect.firstSentAgo = turn.now() - call.attemptStartedAt;
+    turn.emit(std::move(effect));
+    explain(turn, DecisionKind::RequestSettled, call, "settle", "asked again " + std::to_string((turn.now() - call.attemptStartedAt) / 1ms) + " ms after the first order");
+    armTimer(id, call, turn.now());
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::retryOrConclude(Turn& turn, CallId id, CallRecord& call, RetryKind kind)
 {
--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -43,6 +43,10 @@
     bool isLastResort { false };
     // True if the sidecar is only asked for a kept answer and must not run the request.
     bool isReplayOnly { false };
+    // True if the sidecar is to recognise the order if it comes again.
+    bool isSettled { false };
+    // Zero unless the order was sent before, over a connection that is in doubt.
+    Duration firstSentAgo { 0 };
 };
 
 // Passes a cancellation on; the attempt's report is then no longer needed.
@@ -100,6 +104,12 @@
     LoadReport load;
 };
 
+// The ingress asks again for a request that is under way: its answer goes to the later call, which is the same request.
+struct AdoptSidecarCall {
+    SidecarCallId call;
+    SidecarCallId underway;
+};
+
 // Points the ingress to the process that keeps the first outcome of the key.
 struct RedirectSidecarCall {
     SidecarCallId call;
@@ -150,7 +160,7 @@
 };
 
 using Effect = std::variant<SendMessage, ForwardCall, CancelAttempt, AnswerCall, RefuseCall, RunCall, CancelRun, AnswerSidecarCall,
-    ReplaySidecarCall, RedirectSidecarCall, RefuseSidecarCall, KeepAnswer, ForgetAnswer, ProbeBackend, DropConnections, CallPlatform,
+    ReplaySidecarCall, AdoptSidecarCall, RedirectSidecarCall, RefuseSidecarCall, KeepAnswer, ForgetAnswer, ProbeBackend, DropConnections, CallPlatform,
     Explain, Leave>;
 
 using EffectList = std::vector<Effect>;
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/Admission/RunLedger.h>
 #include <LibDecision/Attempt.h>
 #include <LibDecision/CallTerms.h>
 #include <LibDecision/Message.h>
@@ -67,6 +68,10 @@
     bool isLastResort { false };
     // True if only a kept answer is asked for.
     bool isReplayOnly { false };
+    // Set for an order that its ingress may send again over another connection.
+    std::optional<RunKey> key;
+    // How long ago the ingress sent the order first; zero if this is the first time.
+    Duration firstSentAgo { 0 };
 };
 
 // The ingress cancelled the request or its connection closed.
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -39,6 +39,7 @@
     m_configuration.start(turn);
     m_routes.start(turn);
     m_claims.start(turn);
+    m_admission.start(turn.now());
     m_orphanSweep.start(now);
     return settle(turn);
 }
--- a/Libraries/LibModel/Profile.cpp
+++ b/Libraries/LibModel/Profile.cpp
@@ -56,6 +56,7 @@
     {
         RetryPolicy policy;
         policy.maximumAttempts = reader.wholeNumber("maximum-attempts", 1, 10, policy.maximumAttempts);
+        policy.settles = reader.boolean("settles", policy.settles);
         policy.reroutes = reader.wholeNumber("reroutes", 0, 100, policy.reroutes);
         policy.budget = reader.number("budget", 0, 1, policy.budget);
         policy.minimumPerSecond = reader.number("minimum-per-second", 0, 100, policy.minimumPerSecond);
@@ -254,6 +255,7 @@
         .entry("progress-timeout", DurationText(profile.deadlines.progressTimeout));
     SectionWriter(emitter, "retries")
         .entry("maximum-attempts", profile.retries.maximumAttempts)
+        .entry("settles", profile.retries.settles)
         .entry("reroutes", profile.retries.reroutes)
         .entry("budget", profile.retries.budget)
         .entry("minimum-per-second", profile.retries.minimumPerSecond)
--- a/Libraries/LibModel/Profile.h
+++ b/Libraries/LibModel/Profile.h
@@ -72,6 +72,9 @@
 struct RetryPolicy {
     // Sends of one request, the first included.
     uint32_t maximumAttempts { 3 };
+    // Whether an ingress whose connection to a sidecar is in doubt asks again what became of a request that may not
+    // run twice.
+    bool settles { false };
     // Refusals by sidecars that a request may meet beyond its sends. They reach no backend server, so they use up
     // neither sends nor budget; zero lets them.
     uint32_t reroutes { 0 };
--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -1,11 +1,13 @@
 #include <LibTelemetry/EventLog.h>
 
+#include <LibTelemetry/LineWriter.h>
+
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 namespace Telemetry {
 
@@ -28,6 +30,14 @@
         return log4cplus::INFO_LOG_LEVEL;
     }
 
+    // The library knows the time of day, which opens each line.
+    const char* layoutFor(LogFormat format)
+    {
+        if (format == LogFormat::Json)
+            return "{\"time\":\"%D{%Y-%m-%dT%H:%M:%S.%q}Z\",%m";
+        return "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z %m";
+    }
+
     class SinkAppender : public log4cplus::Appender {
     public:
         explicit SinkAppender(std::function<void(const std::string&)> sink)
@@ -46,9 +56,29 @@
 
 }
 
+// Writes to the standard output what has room there.
+class OutputAppender : public log4cplus::Appender {
+public:
+    OutputAppender()
+        : m_writer(STDOUT_FILENO)
+    {
+    }
+    ~OutputAppender() override { destructorImpl(); }
+    void close() override { }
+
+    uint64_t droppedLines() const { return m_writer.droppedLines(); }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override { m_writer.write(formatEvent(event)); }
+
+private:
+    LineWriter m_writer;
+};
+
 struct EventLog::Appender {
     log4cplus::Initializer initializer;
     log4cplus::Logger logger;
+    log4cplus::helpers::SharedObjectPtr<OutputAppender> output;
 };
 
 EventLog::EventLog(EventLogOptions options)
@@ -65,8 +95,9 @@
     if (m_options.sink) {
         appender = new SinkAppender(m_options.sink);
     } else {
-        appender = new log4cplus::ConsoleAppender(true, true);
-        appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q}Z %m%n"));
+        m_appender->output = new OutputAppender();
+        appender = log4cplus::SharedAppenderPtr(m_appender->output.get());
+        appender->setLayout(std::make_unique<log4cplus::PatternLayout>(layoutFor(m_options.format)));
     }
     m_appender->logger.addAppender(appender);
 }
@@ -76,6 +107,11 @@
     m_appender->logger.removeAllAppenders();
 }
 
+uint64_t EventLog::suppressedLines() const
+{
+    return m_suppressedLines + (m_appender->output ? m_appender->output->droppedLines() : 0);
+}
+
 void EventLog::write(Instant now, LogRecord record)
 {
     if (record.level < m_options.level)
@@ -96,7 +132,11 @@
     if (allowance.suppressed > 0)
         record.fields.push_back({ "suppressedBefore", std::to_string(allowance.suppressed) });
     allowance.suppressed = 0;
-    m_appender->logger.log(toLibraryLevel(record.level), formatRecord(record, m_options.format));
+    auto line = formatRecord(record, m_options.format);
+    // The layout has opened the object.
+    if (m_appender->output && m_options.format == LogFormat::Json)
+        line.erase(0, 1);
+    m_appender->logger.log(toLibraryLevel(record.level), line);
 }
 
 }
--- a/Libraries/LibTelemetry/EventLog.h
+++ b/Libraries/LibTelemetry/EventLog.h
@@ -16,11 +16,12 @@
     LogLevel level { LogLevel::Info };
     // Lines of one event per second; further ones are counted and the count is logged with the next line.
     uint32_t linesPerSecond { 20 };
-    // Takes the lines instead of the process's standard error, for tests.
+    // Takes the lines instead of the process's standard output, for tests.
     std::function<void(const std::string&)> sink;
 };
 
-// Writes one line for each event through log4cplus, and limits how many lines an event may write.
+// Writes one line for each event through log4cplus, limits how many lines an event may write, and never waits for
+// whoever reads the output.
 class EventLog {
 public:
     explicit EventLog(EventLogOptions);
@@ -30,8 +31,8 @@
 
     void write(Instant now, LogRecord);
 
-    // Lines that were left out since the start.
-    uint64_t suppressedLines() const { return m_suppressedLines; }
+    // Lines that were left out since the start, because of the limit or because nobody read the output.
+    uint64_t suppressedLines() const;
 
 private:
     struct Allowance {
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -69,8 +69,10 @@
 
 std::unique_ptr<ClientConnection> HttpClient::Implementation::takeConnection(const ClientRequest& request, EndpointPool& pool)
 {
-    if (auto idle = takeIdle(request, pool))
-        return idle;
+    if (!request.needsNewConnection) {
+        if (auto idle = takeIdle(request, pool))
+            return idle;
+    }
     if (!makeRoom(request, pool))
         return nullptr;
     auto connection = std::make_unique<ClientConnection>(loop.m_implementation->loop, request.to);
--- a/Libraries/LibTransport/HttpClient.h
+++ b/Libraries/LibTransport/HttpClient.h
@@ -56,6 +56,8 @@
     Duration progressTimeout { 0 };
     // Uses only a connection that is new or answered something within the proven time.
     bool needsProvenConnection { false };
+    // Uses only a connection that is new.
+    bool needsNewConnection { false };
     // Connections to the endpoint; further requests wait for one, within their deadline.
     uint32_t maximumConnections { 64 };
     Duration idleConnectionTimeout { std::chrono::seconds(30) };
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -188,6 +188,8 @@
         std::string traceparent(Transport::findHeader(request.headers, "traceparent").value_or(""));
         auto shared = std::make_shared<const Transport::HttpRequest>(std::move(request));
         auto call = m_sidecarCalls.arrive(order, std::move(shared), traceparent, [this, id](SidecarReply reply) { respondRun(id, std::move(reply)); });
+        // The request may have come before, over a connection that no longer counts.
+        std::erase_if(m_remoteRuns, [&](const auto& run) { return run.second == call; });
         if (m_sidecarCalls.isInFlight(call))
             m_remoteRuns.emplace(id, call);
     } catch (const Control::ControlError& error) {
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -136,6 +136,9 @@
     order.isOnlyForFreeSlot = effect.isOnlyForFreeSlot;
     order.isLastResort = effect.isLastResort;
     order.isReplayOnly = effect.isReplayOnly;
+    if (effect.isSettled)
+        order.attempt = effect.attempt;
+    order.firstSentAgo = effect.firstSentAgo;
     return order;
 }
 
@@ -146,6 +149,8 @@
         return;
     auto order = makeOrder(call->second, effect);
     auto& attempt = call->second.attempts[effect.attempt];
+    // An order that is sent again replaces the one on the connection in doubt.
+    cancel(attempt);
     attempt.sidecar = effect.sidecar;
     attempt.startedAt = m_parties.now();
     attempt.span = m_parties.observability.tracer().startChild("attempt", *call->second.span);
@@ -175,6 +180,7 @@
     request.deadline = effect.remaining;
     request.progressTimeout = effect.progressTimeout * sidecarPatienceFactor;
     request.needsProvenConnection = !effect.isIdempotent;
+    request.needsNewConnection = effect.firstSentAgo > Duration::zero();
     request.maximumConnections = connectionsPerSidecar;
     request.idleConnectionTimeout = sidecarIdleTimeout;
     request.maximumAnswerBytes = m_parties.maximumAnswerBytes;
--- a/Services/fulmard/SidecarCalls.cpp
+++ b/Services/fulmard/SidecarCalls.cpp
@@ -49,8 +49,12 @@
     arrived.isOnlyForFreeSlot = order.isOnlyForFreeSlot;
     arrived.isLastResort = order.isLastResort;
     arrived.isReplayOnly = order.isReplayOnly;
+    if (order.attempt.value())
+        arrived.key = Decision::RunKey { order.from, order.senderStart, order.attempt };
+    arrived.firstSentAgo = order.firstSentAgo;
     m_sink(std::move(arrived));
-    return id;
+    auto adopted = m_adopted.extract(id);
+    return adopted ? adopted.mapped() : id;
 }
 
 void SidecarCalls::cancel(SidecarCallId id)
@@ -165,6 +169,18 @@
     reply(effect.call, std::move(answer));
 }
 
+void SidecarCalls::carryOut(const Decision::AdoptSidecarCall& effect)
+{
+    auto later = m_calls.extract(effect.call);
+    auto underway = m_calls.find(effect.underway);
+    if (later.empty() || underway == m_calls.end())
+        return;
+    later.mapped().span->SetTag("adopts", effect.underway.value());
+    underway->second.handler = std::move(later.mapped().handler);
+    underway->second.isHandlerGone = false;
+    m_adopted[effect.call] = effect.underway;
+}
+
 void SidecarCalls::carryOut(const Decision::RedirectSidecarCall& effect)
 {
     SidecarReply answer;
--- a/Services/fulmard/SidecarCalls.h
+++ b/Services/fulmard/SidecarCalls.h
@@ -23,7 +23,7 @@
     SidecarCalls(Transport::HttpClient&, Observability&, InstanceId self, const LimitSettings&, EdgeSettings, InputSink);
 
     // Takes a request from an ingress, which may be this process, with the traceparent of its attempt. The handler is
-    // called once, unless cancelled.
+    // called once, unless cancelled. Gives the name of the request, which is that of an earlier one if this is the same.
     SidecarCallId arrive(const Control::RunOrder&, std::shared_ptr<const Transport::HttpRequest>, std::string_view traceparent, SidecarReplyHandler);
     // The ingress no longer waits.
     void cancel(SidecarCallId);
@@ -32,6 +32,7 @@
     void carryOut(const Decision::CancelRun&);
     void carryOut(const Decision::AnswerSidecarCall&);
     void carryOut(const Decision::ReplaySidecarCall&);
+    void carryOut(const Decision::AdoptSidecarCall&);
     void carryOut(const Decision::RedirectSidecarCall&);
     void carryOut(const Decision::RefuseSidecarCall&);
     void carryOut(const Decision::KeepAnswer&);
@@ -68,6 +69,8 @@
     SidecarCallId m_lastId;
     std::unordered_map<SidecarCallId, Call> m_calls;
     std::unordered_map<SidecarCallId, Transport::HttpResponse> m_keptAnswers;
+    // Calls that turned out, while they arrived, to be earlier ones.
+    std::unordered_map<SidecarCallId, SidecarCallId> m_adopted;
 };
 
 }
--- a/Services/fulmard/main.cpp
+++ b/Services/fulmard/main.cpp
@@ -1,6 +1,7 @@
 #include <LibModel/Error.h>
 #include <LibModel/TextFile.h>
 #include <LibPlatform/ConsulStore.h>
+#include <LibTelemetry/LineWriter.h>
 #include <Services/fulmard/BackendApi.h>
 #include <Services/fulmard/Daemon.h>
 #include <platform/InstanceReport.h>
@@ -13,6 +14,7 @@
 #include <functional>
 #include <iostream>
 #include <random>
+#include <unistd.h>
 
 namespace {
 
@@ -77,7 +79,8 @@
     options.randomSeed = randomSeed();
     options.onLeft = [&] { loop.stop(); };
     options.observability.randomSeed = randomSeed();
-    options.observability.traceSink = [](const std::string& line) { std::cout << line << std::endl; };
+    Telemetry::LineWriter traces(STDOUT_FILENO);
+    options.observability.traceSink = [&traces](const std::string& line) { traces.write(line); };
     Fulmard::Daemon daemon(loop, std::move(options));
 
     bool isLeaving = false;
--- a/Tests/LibDecision/Support/FakePlatform.h
+++ b/Tests/LibDecision/Support/FakePlatform.h
@@ -36,6 +36,8 @@
     };
 
     PlatformReply perform(const ReadPrefix&);
+    // No routes are published here.
+    PlatformReply perform(const WatchRoutes& watch) { return { .status = PlatformStatus::Done, .index = watch.index + 1 }; }
     PlatformReply perform(const WatchPrefix& watch) { return perform(ReadPrefix { watch.prefix }); }
     PlatformReply perform(const CompareAndSwap&);
     PlatformReply perform(const GrantLease&);
