--- a/Libraries/LibDecision/PlatformOperation.h
+++ b/Libraries/LibDecision/PlatformOperation.h
@@ -105,11 +105,11 @@
     std::vector<KeyValue> values;
     // For the next WatchPrefix or WatchRoutes.
     uint64_t index { 0 };
+    PlatformLease lease;
     // What WatchRoutes brought; empty if nothing is new or nothing was published.
     std::shared_ptr<const RouteTable> routes;
     // Why the route table that was published can't be used; empty if it can.
     std::string problem;
-    PlatformLease lease;
 };
 
 }
--- /dev/null
+++ b/Tests/LibDecision/Calls/TestSettlement.cpp
@@ -0,0 +1,145 @@
+#include <Tests/LibDecision/Calls/CallRig.h>
+
+#include <gtest/gtest.h>
+
+using namespace Decision;
+
+namespace {
+
+Profile settlingProfile()
+{
+    Profile profile;
+    profile.retries.settles = true;
+    profile.retries.reroutes = 10;
+    profile.capacity.callerWait = 1min;
+    return profile;
+}
+
+CallArrived booking(uint64_t call)
+{
+    auto arrival = CallRig::arrivalOf(call, Method::Post);
+    arrival.request.remaining = 2s;
+    arrival.terms = CallTerms { "book", false, 5s, 600ms, 1, 2 };
+    return arrival;
+}
+
+AttemptReport ended(AttemptResult result, Reason reason, bool hasLoad)
+{
+    AttemptReport report;
+    report.result = result;
+    report.reason = reason;
+    report.hasLoad = hasLoad;
+    return report;
+}
+
+}
+
+TEST(Settlement, ABrokenConnectionIsFollowedByTheSameOrder)
+{
+    CallRig rig(settlingProfile());
+    auto first = effectsOf<ForwardCall>(rig.arrive(booking(1)));
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_TRUE(first.front().isSettled);
+    EXPECT_EQ(first.front().firstSentAgo, Duration::zero());
+
+    rig.now += 100ms;
+    EXPECT_TRUE(rig.finish(1, 1, ended(AttemptResult::Cut, Reason::AnswerCut, false)).empty());
+    auto again = effectsOf<ForwardCall>(rig.advance(100ms));
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_EQ(again.front().attempt, first.front().attempt);
+    EXPECT_EQ(again.front().backend, first.front().backend);
+    EXPECT_EQ(again.front().firstSentAgo, 150ms);
+
+    AttemptReport answer;
+    answer.hasLoad = true;
+    answer.status = 200;
+    EXPECT_EQ(effectsOf<AnswerCall>(rig.finish(1, 1, answer)).size(), 1u);
+}
+
+TEST(Settlement, ASilentConnectionIsDoubtedAtTheObjective)
+{
+    CallRig rig(settlingProfile());
+    rig.arrive(booking(1));
+    EXPECT_TRUE(effectsOf<ForwardCall>(rig.advance(599ms)).empty());
+    EXPECT_EQ(effectsOf<ForwardCall>(rig.advance(1ms)).size(), 1u);
+}
+
+TEST(Settlement, WhatTheSidecarSaysIsFinal)
+{
+    CallRig rig(settlingProfile());
+    rig.arrive(booking(1));
+    auto effects = rig.finish(1, 1, ended(AttemptResult::PeerUnknown, Reason::AnswerCut, true));
+    auto refusals = effectsOf<RefuseCall>(effects);
+    ASSERT_EQ(refusals.size(), 1u);
+    EXPECT_EQ(refusals.front().outcome, Outcome::Unknown);
+}
+
+TEST(Settlement, WithoutAnAnswerTheOutcomeIsUnknownAtTheDeadline)
+{
+    CallRig rig(settlingProfile());
+    rig.arrive(booking(1));
+    rig.finish(1, 1, ended(AttemptResult::Cut, Reason::AnswerCut, false));
+    for (int attempt = 0; attempt < 30; ++attempt) {
+        rig.advance(50ms);
+        rig.finish(1, 1, ended(AttemptResult::NotSent, Reason::ConnectFailed, false));
+    }
+    auto refusals = effectsOf<RefuseCall>(rig.advance(2s));
+    ASSERT_EQ(refusals.size(), 1u);
+    EXPECT_EQ(refusals.front().outcome, Outcome::Unknown);
+}
+
+TEST(Settlement, AFirstOrderThatNeverLeftIsSentElsewhere)
+{
+    CallRig rig(settlingProfile());
+    auto first = effectsOf<ForwardCall>(rig.arrive(booking(1)));
+    auto second = effectsOf<ForwardCall>(rig.finish(1, 1, ended(AttemptResult::NotSent, Reason::ConnectFailed, false)));
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_NE(second.front().backend, first.front().backend);
+    EXPECT_EQ(second.front().attemptNumber, 1u);
+}
+
+TEST(Rerouting, RefusalsOfSidecarsUseUpNeitherSendsNorBudget)
+{
+    CallRig rig(settlingProfile());
+    auto sends = effectsOf<ForwardCall>(rig.arrive(booking(1)));
+    for (uint64_t attempt = 1; attempt <= 3; ++attempt) {
+        ASSERT_EQ(sends.size(), 1u);
+        EXPECT_EQ(sends.front().attemptNumber, 1u);
+        EXPECT_TRUE(sends.front().isOnlyForFreeSlot);
+        sends = effectsOf<ForwardCall>(rig.finish(1, attempt, ended(AttemptResult::RefusedNotRun, Reason::BackendBusy, true)));
+    }
+    // After three sidecars without a free slot the request queues at the next.
+    ASSERT_EQ(sends.size(), 1u);
+    EXPECT_FALSE(sends.front().isOnlyForFreeSlot);
+}
+
+TEST(Rerouting, ARequestWaitsForABackendServerAndIsServed)
+{
+    CallRig rig(settlingProfile());
+    auto backends = std::exchange(rig.router.backends, {});
+    EXPECT_TRUE(rig.arrive(booking(1)).empty());
+    EXPECT_TRUE(effectsOf<RefuseCall>(rig.advance(500ms)).empty());
+    rig.router.backends = backends;
+    EXPECT_EQ(effectsOf<ForwardCall>(rig.advance(50ms)).size(), 1u);
+}
+
+TEST(Rerouting, AWaitEndsTruthfullyAtTheDeadline)
+{
+    CallRig rig(settlingProfile());
+    rig.router.backends.clear();
+    rig.arrive(booking(1));
+    auto refusals = effectsOf<RefuseCall>(rig.advance(2s));
+    ASSERT_EQ(refusals.size(), 1u);
+    EXPECT_EQ(refusals.front().outcome, Outcome::NotRun);
+    EXPECT_EQ(rig.calls.inFlight(), 0u);
+}
+
+TEST(Rerouting, ACallerThatLeavesWhileItsRequestWaitsLeavesNothingBehind)
+{
+    CallRig rig(settlingProfile());
+    rig.router.backends.clear();
+    rig.arrive(booking(1));
+    EXPECT_TRUE(effectsOf<CancelAttempt>(rig.callerGone(1)).empty());
+    EXPECT_EQ(rig.calls.inFlight(), 0u);
+    EXPECT_FALSE(rig.calls.nextTimer().has_value());
+}
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -298,6 +298,16 @@
         endLink(node, effect.call, { .result = AttemptResult::Answered, .status = 200, .hasLoad = true, .load = effect.load }, kept->second);
 }
 
+void NodeFleet::carryOut(size_t node, const AdoptSidecarCall& effect)
+{
+    auto link = m_links.extract({ node, effect.call.value() });
+    if (link.empty())
+        return;
+    m_links.erase({ node, effect.underway.value() });
+    link.key() = { node, effect.underway.value() };
+    m_links.insert(std::move(link));
+}
+
 void NodeFleet::carryOut(size_t node, const RedirectSidecarCall& effect)
 {
     endLink(node, effect.call, { .result = AttemptResult::Redirected, .reason = Reason::KeyOutcomeUnknown, .outcomeKeeper = effect.keeper }, {});
--- /dev/null
+++ b/Tests/PlatformAdapter/TestNodeFile.cpp
@@ -0,0 +1,61 @@
+#include <LibModel/Error.h>
+#include <platform/NodeFile.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Model;
+using namespace PlatformAdapter;
+
+static const std::string valid = "node=sidecar-1\nzone=agadir\nregion=souss-massa\nlisten.inbound=10.1.0.38:8146\n"
+                                 "listen.outbound=10.1.0.38:8147\nlisten.ready=10.1.0.38:8141\nlisten.control=10.1.0.38:8144\n"
+                                 "heartbeatMs=1500\nbounds=drainMs=2500,floorShare=0.6,retryBudgetRatio=0.25,retryBudgetExtra=56,graceS=6,new=x\n"
+                                 "appAddr=10.1.0.38:8145\nservice=huvo11a\nplatform.address=10.200.1.7:8142\nseeds=\nsomething.new=1\n";
+
+TEST(NodeFile, ReadsWhatTheProcessNeedsAndIgnoresTheRest)
+{
+    auto settings = readNodeFile(valid, "settings.conf");
+    EXPECT_EQ(settings.instance, InstanceId("sidecar-1"));
+    EXPECT_EQ(settings.callers.port, 8147);
+    EXPECT_EQ(settings.control.port, 8146);
+    EXPECT_EQ(settings.announcements->port, 8144);
+    EXPECT_EQ(settings.readiness->port, 8141);
+    EXPECT_EQ(settings.service, ServiceName("huvo11a"));
+    EXPECT_EQ(settings.platformApi, PlatformApi::RevisionStore);
+    EXPECT_EQ(settings.routing, RoutingMode::RouteTable);
+    EXPECT_DOUBLE_EQ(settings.defaultProfile.health.floor, 0.6);
+    EXPECT_EQ(settings.defaultProfile.lifecycle.drainBound, 2500ms);
+    EXPECT_EQ(settings.defaultProfile.retries.fleetExtra, 56u);
+    EXPECT_LT(settings.leaveTimeout, 6s);
+}
+
+TEST(NodeFile, NamesFileLineAndFieldOfWhatIsMissingOrImpossible)
+{
+    auto expectError = [](const std::string& text, const std::string& key, int line) {
+        try {
+            readNodeFile(text, "settings.conf");
+            ADD_FAILURE() << key;
+        } catch (const DocumentError& error) {
+            EXPECT_EQ(error.file(), "settings.conf");
+            EXPECT_EQ(error.key(), key);
+            EXPECT_EQ(error.line(), line);
+        }
+    };
+    auto replaced = [](const std::string& from, const std::string& to) {
+        auto text = valid;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    expectError(replaced("zone=agadir\n", ""), "zone", 0);
+    expectError(replaced("10.1.0.38:8147", "nowhere"), "listen.outbound", 5);
+    expectError(replaced("floorShare=0.6", "floorShare=2"), "bounds.floorShare", 9);
+    expectError(replaced("heartbeatMs=1500", "heartbeatMs=-1"), "heartbeatMs", 8);
+}
+
+RC_GTEST_PROP(NodeFile, NoTextCrashesTheReader, (const std::string& text))
+{
+    try {
+        readNodeFile(valid + text, "settings.conf");
+    } catch (const DocumentError&) {
+        RC_SUCCEED("refused");
+    }
+}
