--- a/Libraries/LibDecision/Calls/RetryBudget.h
+++ b/Libraries/LibDecision/Calls/RetryBudget.h
@@ -30,10 +30,10 @@
 
     // Parts of the fleet's extra retries that may be saved up, and that come with time. The rest is left for retries
     // that a repeated run causes by calls of its own.
-    static constexpr double savedShare = 0.7;
+    static constexpr double savedShare = 0.6;
     static constexpr double flowingShare = 0.3;
     // Part of the share of first attempts that is used, for the same reason.
-    static constexpr double usedShare = 0.8;
+    static constexpr double usedShare = 0.7;
 
     // The fleet size counts processes.
     void countFirstAttempt(const RetryPolicy&, size_t fleetSize, Instant now);
--- a/Tests/System/TestDocs.cpp
+++ b/Tests/System/TestDocs.cpp
@@ -74,14 +74,14 @@
 
 TEST(Docs, ExitCodesAreThoseOfTheCode)
 {
-    auto page = readPage("OPERATING.md");
+    auto page = readPage("OPERATIONS.md");
     for (const auto& entry : Model::EnumNames<FulmarCtl::ExitCode>::entries)
         EXPECT_TRUE(names(page, std::string(entry.name) + " " + std::to_string(static_cast<int>(entry.value)))) << entry.name;
 }
 
 TEST(Docs, AlertsNameMetricsAndDecisionsThatExist)
 {
-    auto page = readPage("OPERATING.md");
+    auto page = readPage("OPERATIONS.md");
     auto metrics = Telemetry::Metrics().prometheusText();
     size_t found = 0;
     for (auto position = page.find("`fulmar_"); position != std::string::npos; position = page.find("`fulmar_", position + 1)) {
@@ -95,7 +95,7 @@
 TEST(Docs, EveryDocumentedCommandExists)
 {
     size_t found = 0;
-    for (auto name : { "OPERATING.md", "SETTINGS.md" }) {
+    for (auto name : { "OPERATIONS.md", "SETTINGS.md" }) {
         auto page = readPage(name);
         for (auto position = page.find("fulmarctl "); position != std::string::npos; position = page.find("fulmarctl ", position + 1)) {
             std::istringstream words(page.substr(position, 60));
