--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibDecision/CallTerms.h>
-#include <LibDecision/Effect.h>
 #include <LibDecision/Calls/RequestState.h>
+#include <LibDecision/Effect.h>
 #include <LibDecision/Message.h>
 #include <LibModel/Request.h>
 
--- a/Libraries/LibPlatform/ConsulRequest.cpp
+++ b/Libraries/LibPlatform/ConsulRequest.cpp
@@ -5,7 +5,6 @@
 #include <json/value.h>
 #include <json/writer.h>
 
-
 namespace Platform {
 
 using Transport::HttpRequest;
--- a/Services/fulmard/main.cpp
+++ b/Services/fulmard/main.cpp
@@ -61,7 +61,8 @@
         return Model::parseSettings(Model::readTextFile(path), path);
     }
     const auto* variable = std::getenv(PlatformAdapter::nodeFileVariable);
-    std::string path = arguments.count("node-file") ? arguments["node-file"].as<std::string>() : variable ? variable : "";
+    std::string path = arguments.count("node-file") ? arguments["node-file"].as<std::string>() : variable ? variable
+                                                                                                          : "";
     if (path.empty())
         throw Model::DocumentError("fulmard", 0, "settings", "missing", "--settings FILE or --node-file FILE; see fulmard --help");
     return PlatformAdapter::readNodeFile(Model::readTextFile(path), path);
