LibDecision: Remember orders that were refused, so that a late copy never runs

Found by reading the change: a sidecar that refused an order sent again kept no trace of it. Its ingress then sends the request elsewhere, and the first copy, held up on the old connection, could still run: a booking twice. Change: a refused order that can be settled is remembered as not run, as one refused for a free slot already was.

--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -74,6 +74,11 @@
         return;
     }
     if (auto reason = refusalFor(turn, arrival)) {
+        // The order may come once more, late and over another connection, when its ingress has sent the request elsewhere.
+        if (arrival.key) {
+            m_ledger.begin(*arrival.key, arrival.call);
+            m_ledger.end(arrival.call, RunFate::NotRun, *reason, turn.now());
+        }
         tellRefusal(turn, arrival.call, arrival.backend, arrival.request, { Outcome::NotRun, *reason }, "admit");
         return;
     }
--- a/Tests/LibDecision/Admission/TestRunLedger.cpp
+++ b/Tests/LibDecision/Admission/TestRunLedger.cpp
@@ -75,6 +75,19 @@
     EXPECT_EQ(refusals.front().outcome, Outcome::NotRun);
 }
 
+TEST_F(RunLedgerTest, AnOrderThatWasRefusedNeverRunsWhenItComesLate)
+{
+    auto again = orderOf(1, 5, 100ms);
+    again.incarnation = Incarnation(9);
+    ASSERT_EQ(effectsOf<RefuseSidecarCall>(rig.arrive(again)).size(), 1u);
+    // The first send was held up on the way and arrives now, in a state in which it would be admitted.
+    auto effects = rig.arrive(orderOf(2, 5));
+    EXPECT_TRUE(effectsOf<RunCall>(effects).empty());
+    auto refusals = effectsOf<RefuseSidecarCall>(effects);
+    ASSERT_EQ(refusals.size(), 1u);
+    EXPECT_EQ(refusals.front().outcome, Outcome::NotRun);
+}
+
 TEST_F(RunLedgerTest, AnOrderThatWasNeverSeenRuns)
 {
     EXPECT_EQ(effectsOf<RunCall>(rig.arrive(orderOf(1, 5, 100ms))).size(), 1u);
