LibDecision: Count the fleet's retries at the sidecars

Cause: each ingress had an equal part of a service's retries.

Change: the part stands at the sidecar (FleetRetryShare), which sees every arrival. An order says what its arrival counts as; a sidecar without a retry left refuses it as not run, which reaches no backend server, and the ingress asks up to six of them. A slow send is given up only for one that no sidecar refuses. Calls that a retried run makes are counted, never refused. Where no retry is left, the backend server's own error is told instead of "unknown". Orders leave out fields with default values.

Ruled out: gossiping counters (bytes between zones are the largest price); a keeper of each service's budget (a second one after a partition would double it).

A refusal after a backend server's own error now delivers that error, so the test of "not run isn't told" asks for the answer, and for "unknown" after a cut; the property checks that only attempts whose answer came whole are ever delivered.

--- a/Libraries/LibControl/JsonArchive.h
+++ b/Libraries/LibControl/JsonArchive.h
@@ -26,6 +26,14 @@
     template <typename Value>
     void field(const char* name, const Value& value) { m_json[name] = write(value); }
 
+    // Leaves the field out if it has its default value.
+    template <typename Value>
+    void optionalField(const char* name, const Value& value)
+    {
+        if (value != Value {})
+            field(name, value);
+    }
+
     Json::Value take() { return std::move(m_json); }
 
     template <typename Value>
@@ -100,6 +108,15 @@
         read(m_json[name], value);
     }
 
+    // Gives the default value if the field is missing.
+    template <typename Value>
+    void optionalField(const char* name, Value& value)
+    {
+        value = {};
+        if (m_json.isMember(name))
+            read(m_json[name], value);
+    }
+
     template <typename Value>
     static void read(const Json::Value& json, Value& value)
     {
--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -31,9 +31,9 @@
     archive.field("service", value.service);
     archive.field("method", value.method);
     archive.field("path", value.path);
-    archive.field("account", value.account);
-    archive.field("key", value.key);
-    archive.field("parent", value.parent);
+    archive.optionalField("account", value.account);
+    archive.optionalField("key", value.key);
+    archive.optionalField("parent", value.parent);
     archive.field("remaining", value.remaining);
     archive.field("fingerprint", value.fingerprint);
 }
@@ -283,11 +283,11 @@
 void describe(Archive& archive, LoadReport& value)
 {
     archive.field("slots", value.slots);
-    archive.field("running", value.running);
-    archive.field("queued", value.queued);
-    archive.field("serviceTime", value.serviceTime);
-    archive.field("suspicion", value.suspicion);
-    archive.field("faultProbability", value.faultProbability);
+    archive.optionalField("running", value.running);
+    archive.optionalField("queued", value.queued);
+    archive.optionalField("serviceTime", value.serviceTime);
+    archive.optionalField("suspicion", value.suspicion);
+    archive.optionalField("faultProbability", value.faultProbability);
 }
 
 inline const char* kindOf(const MemberRecord&) { return "member"; }
--- a/Libraries/LibControl/RunEnvelope.cpp
+++ b/Libraries/LibControl/RunEnvelope.cpp
@@ -23,25 +23,26 @@
     archive.field("backend", value.backend);
     archive.field("backendIncarnation", value.backendIncarnation);
     archive.field("request", value.request);
-    archive.field("isIdempotent", value.isIdempotent);
-    archive.field("latencyObjective", value.latencyObjective);
-    archive.field("isOnlyForFreeSlot", value.isOnlyForFreeSlot);
-    archive.field("isLastResort", value.isLastResort);
-    archive.field("isReplayOnly", value.isReplayOnly);
-    archive.field("attempt", value.attempt);
-    archive.field("firstSentAgo", value.firstSentAgo);
+    archive.optionalField("isIdempotent", value.isIdempotent);
+    archive.optionalField("latencyObjective", value.latencyObjective);
+    archive.optionalField("isOnlyForFreeSlot", value.isOnlyForFreeSlot);
+    archive.optionalField("isLastResort", value.isLastResort);
+    archive.optionalField("arrival", value.arrival);
+    archive.optionalField("isReplayOnly", value.isReplayOnly);
+    archive.optionalField("attempt", value.attempt);
+    archive.optionalField("firstSentAgo", value.firstSentAgo);
 }
 
 template <typename Archive>
 static void describe(Archive& archive, RunResult& value)
 {
     archive.field("outcome", value.outcome);
-    archive.field("reason", value.reason);
-    archive.field("step", value.step);
-    archive.field("peer", value.peer);
-    archive.field("serviceTime", value.serviceTime);
-    archive.field("load", value.load);
-    archive.field("outcomeKeeper", value.outcomeKeeper);
+    archive.optionalField("reason", value.reason);
+    archive.optionalField("step", value.step);
+    archive.optionalField("peer", value.peer);
+    archive.optionalField("serviceTime", value.serviceTime);
+    archive.optionalField("load", value.load);
+    archive.optionalField("outcomeKeeper", value.outcomeKeeper);
 }
 
 RunOrderChannel::RunOrderChannel(const std::string& fleetKey, Model::InstanceId self, Model::Incarnation start, Model::Endpoint selfControl)
--- a/Libraries/LibControl/RunEnvelope.h
+++ b/Libraries/LibControl/RunEnvelope.h
@@ -28,6 +28,7 @@
     Model::Duration latencyObjective { 0 };
     bool isOnlyForFreeSlot { false };
     bool isLastResort { false };
+    Decision::ArrivalKind arrival { Decision::ArrivalKind::First };
     bool isReplayOnly { false };
     // Numbers the orders of one start of the sender that may be sent again; 0 if this one may not.
     Model::AttemptId attempt;
--- a/Libraries/LibDecision/Admission/AdmittedCall.h
+++ b/Libraries/LibDecision/Admission/AdmittedCall.h
@@ -25,6 +25,7 @@
     Incarnation incarnation;
     RequestInfo request;
     bool isIdempotent { false };
+    ArrivalKind arrival { ArrivalKind::First };
     AdmissionStage stage { AdmissionStage::Queued };
     Instant deadline;
     Instant startedAt;
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -4,6 +4,7 @@
 #include <LibDecision/Admission/AdmittedCall.h>
 #include <LibDecision/Admission/ColdStartRamp.h>
 #include <LibDecision/Admission/CrashGuard.h>
+#include <LibDecision/Admission/FleetRetryShare.h>
 #include <LibDecision/Admission/RunLedger.h>
 #include <LibDecision/Configuration/ProfileBook.h>
 #include <LibDecision/Input.h>
@@ -12,6 +13,7 @@
 #include <LibDecision/Turn.h>
 
 #include <concepts>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -62,6 +64,9 @@
 public:
     SidecarAdmission(LocalBackends&, const ProfileBook&, CrashGuard&, Gate&, Observer&);
 
+    // Tells how many backend servers share a service's bounds. Without it the one here is alone.
+    void useServiceSize(std::function<size_t(const ServiceName&)> serviceSize) { m_serviceSize = std::move(serviceSize); }
+
     // The instant is that of the process's start.
     void start(Instant now) { m_startedAt = now; }
 
@@ -81,6 +86,8 @@
     // From now on every new request is refused with "not run".
     void leave(Turn&);
 
+    // Says whether a request that runs here with this id had arrived at a backend server before.
+    bool isRunningRetry(const RequestId&) const;
     LoadReport load(const BackendId&, Instant now) const;
     // Requests queued or running.
     size_t inFlight() const { return m_calls.size(); }
@@ -118,6 +125,13 @@
     void finishSettled(Turn&, SidecarCallId, Verdict);
     void finishClaimed(Turn&, SidecarCallId, Outcome);
     void settleUsage(const AdmittedCall&, const RunReport&, Instant now);
+    // Whether the request would be one retry too many for the fleet.
+    bool isBeyondRetryShare(const SidecarCallArrived&, Instant now);
+    // A retry counts from its admission on, so that those that wait don't overdraw the share together.
+    void reserveRetry(const AdmittedCall&, Instant now);
+    // The request is refused after all and never reaches the backend server.
+    void giveRetryBack(const AdmittedCall&);
+    void countArrival(const AdmittedCall&, Instant now);
     // Whether the probability of a fault forbids the request.
     bool isTooDoubtful(const SidecarCallArrived&, Instant now) const;
     void noteLate(SidecarCallId, Instant now);
@@ -144,6 +158,8 @@
     Observer& m_observer;
     AccountUsage m_usage;
     RunLedger m_ledger;
+    std::function<size_t(const ServiceName&)> m_serviceSize { [](const ServiceName&) { return size_t(1); } };
+    std::unordered_map<ServiceName, FleetRetryShare> m_retryShares;
     Instant m_startedAt;
     std::unordered_map<SidecarCallId, AdmittedCall> m_calls;
     std::unordered_map<BackendId, BackendOccupancy> m_occupancies;
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -73,7 +73,10 @@
         replay(turn, arrival);
         return;
     }
-    if (auto reason = refusalFor(turn, arrival)) {
+    auto reason = refusalFor(turn, arrival);
+    if (!reason && isBeyondRetryShare(arrival, turn.now()))
+        reason = Reason::RetryBudgetExhausted;
+    if (reason) {
         // The order may come once more, late and over another connection, when its ingress has sent the request elsewhere.
         if (arrival.key) {
             m_ledger.begin(*arrival.key, arrival.call);
@@ -87,7 +90,10 @@
     admitted.backend = arrival.backend;
     admitted.incarnation = arrival.incarnation;
     admitted.request = arrival.request;
+    // The ingress names the service that the caller asked for; a route may have led elsewhere.
+    admitted.request.service = m_backends.find(arrival.backend)->announcement.service;
     admitted.isIdempotent = arrival.isIdempotent;
+    admitted.arrival = arrival.arrival;
     admitted.latencyObjective = arrival.latencyObjective;
     admitted.deadline = turn.now() + arrival.request.remaining.value_or(profileOf(arrival.backend).deadlines.defaultDeadline);
     auto [entry, isNew] = m_occupancies.try_emplace(arrival.backend);
@@ -97,6 +103,7 @@
     auto& call = m_calls.emplace(arrival.call, std::move(admitted)).first->second;
     if (arrival.key)
         m_ledger.begin(*arrival.key, arrival.call);
+    reserveRetry(call, turn.now());
     if (occupancy.queue.isEmpty() && hasSlotFor(call, turn.now()))
         start(turn, arrival.call, call);
     else if (arrival.isOnlyForFreeSlot)
@@ -318,6 +325,55 @@
     return std::nullopt;
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+bool SidecarAdmission<Gate, Observer>::isBeyondRetryShare(const SidecarCallArrived& arrival, Instant now)
+{
+    const auto& policy = profileOf(arrival.backend).retries;
+    if (arrival.arrival != ArrivalKind::Retry || policy.fleetExtra == 0)
+        return false;
+    const auto& service = m_backends.find(arrival.backend)->announcement.service;
+    return !m_retryShares[service].hasLeft(policy, m_serviceSize(service), now);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::reserveRetry(const AdmittedCall& admitted, Instant now)
+{
+    const auto& policy = profileOf(admitted.backend).retries;
+    const auto& service = admitted.request.service;
+    if (policy.fleetExtra > 0 && admitted.arrival == ArrivalKind::Retry)
+        m_retryShares[service].spend(policy, m_serviceSize(service), now);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::giveRetryBack(const AdmittedCall& admitted)
+{
+    if (profileOf(admitted.backend).retries.fleetExtra > 0 && admitted.arrival == ArrivalKind::Retry)
+        m_retryShares[admitted.request.service].giveBack();
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::countArrival(const AdmittedCall& admitted, Instant now)
+{
+    const auto& policy = profileOf(admitted.backend).retries;
+    if (policy.fleetExtra == 0)
+        return;
+    const auto& service = admitted.request.service;
+    if (admitted.arrival == ArrivalKind::Counted)
+        m_retryShares[service].spend(policy, m_serviceSize(service), now);
+    // Calls of running requests aren't callers' requests, so their first arrivals bring nothing.
+    else if (admitted.arrival == ArrivalKind::First && !admitted.request.parent)
+        m_retryShares[service].countFirstArrival(policy, m_serviceSize(service), now);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+bool SidecarAdmission<Gate, Observer>::isRunningRetry(const RequestId& request) const
+{
+    return std::ranges::any_of(m_calls, [&](const auto& entry) {
+        const auto& admitted = entry.second;
+        return admitted.request.id == request && admitted.stage == AdmissionStage::Running && admitted.arrival != ArrivalKind::First;
+    });
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 bool SidecarAdmission<Gate, Observer>::isTooDoubtful(const SidecarCallArrived& arrival, Instant now) const
 {
@@ -413,6 +469,7 @@
     m_waits.cancel(call);
     admitted.stage = AdmissionStage::Running;
     admitted.startedAt = turn.now();
+    countArrival(admitted, turn.now());
     RunCall effect;
     effect.call = call;
     effect.backend = admitted.backend;
@@ -564,6 +621,7 @@
 void SidecarAdmission<Gate, Observer>::refuseUnqueued(Turn& turn, SidecarCallId call, const AdmittedCall& admitted)
 {
     auto refused = admitted;
+    giveRetryBack(refused);
     m_calls.erase(call);
     m_ledger.end(call, RunFate::NotRun, Reason::BackendBusy, turn.now());
     tellRefusal(turn, call, refused.backend, refused.request, { Outcome::NotRun, Reason::BackendBusy }, "admit");
@@ -630,6 +688,8 @@
         occupancy.queue.remove(call);
     else
         --occupancy.running;
+    if (entry->second.stage != AdmissionStage::Running)
+        giveRetryBack(entry->second);
     if (occupancy.isolated == call)
         occupancy.isolated.reset();
     m_waits.cancel(call);
--- a/Libraries/LibDecision/Attempt.h
+++ b/Libraries/LibDecision/Attempt.h
@@ -35,6 +35,17 @@
     Cancelled,
 };
 
+// What an order's arrival at a backend server counts as, where the arrivals of a whole fleet are bounded.
+enum class ArrivalKind {
+    // The request's first arrival at any backend server.
+    First,
+    // The request may have arrived at a backend server before. It is refused if the sidecar's part is used up.
+    Retry,
+    // Counts like a retry but isn't refused: a call that a retried run makes, or a request whose earlier send was given
+    // up for this one.
+    Counted,
+};
+
 // What a sidecar says about its backend server in each answer and refusal.
 struct LoadReport {
     uint32_t slots { 0 };
@@ -80,6 +91,15 @@
 
 }
 
+template <>
+struct Model::EnumNames<Decision::ArrivalKind> {
+    static constexpr std::array entries {
+        EnumName { Decision::ArrivalKind::First, "first" },
+        EnumName { Decision::ArrivalKind::Retry, "retry" },
+        EnumName { Decision::ArrivalKind::Counted, "counted" },
+    };
+};
+
 template <>
 struct Model::EnumNames<Decision::AttemptResult> {
     static constexpr std::array entries {
--- a/Libraries/LibDecision/CallTerms.h
+++ b/Libraries/LibDecision/CallTerms.h
@@ -24,6 +24,8 @@
     uint32_t priority { 0 };
     // Backend servers that it may be sent to.
     uint32_t maximumAttempts { 1 };
+    // True for a call that a retried run makes: its first arrival counts as a retry.
+    bool isCountedAsRetry { false };
 
     bool operator==(const CallTerms&) const = default;
 };
--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -38,6 +38,16 @@
     uint32_t reroutes { 0 };
     // True once any send may have run.
     bool mayHaveRun { false };
+    // True once any send may have reached a backend server, be it one that rejected it.
+    bool mayHaveArrived { false };
+    // True if the last send was given up for the next one, which must then not be refused for being a retry.
+    bool isGivenUpForNext { false };
+    // The last send that a backend server answered with an error of its own, and that answer's status. The shell keeps
+    // the answer until the request's end.
+    std::optional<AttemptId> failedAttempt;
+    uint16_t failedStatus { 0 };
+    // Sidecars that refused a retry because their part of the fleet's retries was used up.
+    uint32_t budgetRefusals { 0 };
     // HTTP status of the last answer; 0 if the last send had none.
     uint16_t lastStatus { 0 };
     // How the last send failed, and where.
--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -15,7 +15,6 @@
 #include <LibDecision/Turn.h>
 
 #include <concepts>
-#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -69,9 +68,6 @@
 public:
     CallTable(Routing&, Observer&, CrashGuard&, const Directory&, const ProfileBook&, CallTableOptions = {});
 
-    // Tells how many processes share the fleet's bounds. Without it this one is alone.
-    void useFleetSize(std::function<size_t()> fleetSize) { m_fleetSize = std::move(fleetSize); }
-
     std::optional<Instant> nextTimer() const { return m_timers.next(); }
     void handleTimer(Turn&);
 
@@ -106,6 +102,9 @@
     // So many sidecars are asked for a free slot before the request queues at one.
     static constexpr uint32_t freeSlotTries = 3;
 
+    // So many sidecars are asked for a part of the fleet's retries before a failure is told.
+    static constexpr uint32_t retryShareTries = 6;
+
     CallTerms termsOf(const CallArrived&, const Profile&) const;
     std::optional<Reason> refusalFor(const CallArrived&, const Profile&, Instant now) const;
     void routeFirst(Turn&, CallId, CallRecord&);
@@ -123,6 +122,8 @@
 
     void account(Turn&, CallId, CallRecord&, const AttemptReport&);
     void handleVerdict(Turn&, CallId, CallRecord&, const AttemptReport&);
+    // What the next send counts as where arrivals at backend servers are bounded.
+    static ArrivalKind nextArrival(const CallRecord&);
     RetryKind kindAfterRefusal(const CallRecord&, const AttemptReport&) const;
     bool mayRetry(const CallRecord&, Instant now) const;
     bool retry(Turn&, CallId, CallRecord&, RetryKind);
@@ -136,7 +137,8 @@
     void abandonAttempt(Turn&, CallId, CallRecord&, AttemptResult);
 
     void answer(Turn&, CallId, CallRecord&);
-    // Tells the outcome after the last attempt failed.
+    void answerFrom(Turn&, CallId, CallRecord&, AttemptId, uint16_t status);
+    // Tells the outcome after the last attempt failed: a backend server's own error if there was one, else what is known.
     void conclude(Turn&, CallId, CallRecord&);
     void tellRefusal(Turn&, CallId, const CallRecord&, Outcome);
     void transition(CallRecord&, RequestEvent);
@@ -151,7 +153,6 @@
     const ProfileBook& m_profiles;
     TypedChart<RequestState, RequestEvent> m_chart;
     CallLimit m_limit;
-    std::function<size_t()> m_fleetSize { [] { return size_t(1); } };
     std::unordered_map<CallId, CallRecord> m_calls;
     // Only services that a request was sent to.
     std::unordered_map<ServiceName, ServiceRecord> m_services;
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -139,7 +139,7 @@
 {
     // A call that a running request makes is no caller's request.
     if (!call.request.parent)
-        m_services[call.request.service].budget.countFirstAttempt(profileOf(call.request.service).retries, m_fleetSize(), turn.now());
+        m_services[call.request.service].budget.countFirstAttempt(profileOf(call.request.service).retries, turn.now());
     auto choice = choose(turn, call, call.lastReason);
     if (choice)
         send(turn, id, call, *choice);
@@ -211,6 +211,8 @@
     const auto& profile = profileOf(call.request.service);
     effect.isOnlyForFreeSlot = call.reroutes < std::min(freeSlotTries, profile.retries.reroutes) && !choice.isFull;
     effect.isLastResort = choice.faultProbability >= profile.health.faultBound;
+    effect.arrival = nextArrival(call);
+    call.isGivenUpForNext = false;
     effect.latencyObjective = call.terms.latencyObjective;
     call.backend = choice.backend;
     call.tried.push_back(choice.backend.id);
@@ -322,10 +324,18 @@
     case AttemptVerdict::Deliver:
     case AttemptVerdict::ServerFailed:
         call.mayHaveRun = true;
+        call.mayHaveArrived = true;
+        call.failedAttempt = call.attempt;
+        call.failedStatus = report.status;
         if (!call.terms.isIdempotent || !retry(turn, id, call, RetryKind::Rerun))
             answer(turn, id, call);
         return;
     case AttemptVerdict::NotRun:
+        if (report.reason == Reason::RetryBudgetExhausted && ++call.budgetRefusals >= retryShareTries) {
+            conclude(turn, id, call);
+            return;
+        }
+        call.mayHaveArrived |= report.reason == Reason::BackendShedding;
         if (report.reason != Reason::BackendShedding && reroute(turn, id, call))
             return;
         retryOrConclude(turn, id, call, kindAfterRefusal(call, report));
@@ -335,6 +345,7 @@
         return;
     case AttemptVerdict::MayHaveRun:
         call.mayHaveRun = true;
+        call.mayHaveArrived = true;
         if (call.terms.isIdempotent)
             retryOrConclude(turn, id, call, RetryKind::Rerun);
         else
@@ -346,6 +357,16 @@
     }
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+ArrivalKind CallTable<Routing, Observer, Directory>::nextArrival(const CallRecord& call)
+{
+    if (call.isGivenUpForNext)
+        return ArrivalKind::Counted;
+    if (call.mayHaveArrived)
+        return ArrivalKind::Retry;
+    return call.terms.isCountedAsRetry ? ArrivalKind::Counted : ArrivalKind::First;
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 RetryKind CallTable<Routing, Observer, Directory>::kindAfterRefusal(const CallRecord& call, const AttemptReport& report) const
 {
@@ -373,7 +394,7 @@
     if (!choice)
         return false;
     auto& budget = m_services[call.request.service].budget;
-    if (!budget.take(kind, profileOf(call.request.service).retries, m_fleetSize(), turn.now())) {
+    if (!budget.take(kind, profileOf(call.request.service).retries, turn.now())) {
         explain(turn, DecisionKind::RequestRefused, call, "retry", std::string(nameOf(Reason::RetryBudgetExhausted)));
         return false;
     }
@@ -414,11 +435,12 @@
     Reason reason = Reason::None;
     auto choice = mayRetry(call, turn.now()) ? choose(turn, call, reason) : std::nullopt;
     bool isElsewhere = choice && choice->backend.id != call.backend->id;
-    if (!isElsewhere || !m_services[call.request.service].budget.take(RetryKind::Rerun, profileOf(call.request.service).retries, m_fleetSize(), turn.now())) {
+    if (!isElsewhere || !m_services[call.request.service].budget.take(RetryKind::Replacement, profileOf(call.request.service).retries, turn.now())) {
         armTimer(id, call, turn.now());
         return;
     }
     abandonAttempt(turn, id, call, AttemptResult::TimedOut);
+    call.isGivenUpForNext = true;
     transition(call, RequestEvent::RetryAllowed);
     send(turn, id, call, *choice);
 }
@@ -440,21 +462,32 @@
     report.elapsed = turn.now() - call.attemptStartedAt;
     account(turn, id, call, report);
     call.mayHaveRun = true;
+    call.mayHaveArrived = true;
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::answer(Turn& turn, CallId id, CallRecord& call)
+{
+    answerFrom(turn, id, call, call.attempt, call.lastStatus);
+}
+
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+void CallTable<Routing, Observer, Directory>::answerFrom(Turn& turn, CallId id, CallRecord& call, AttemptId attempt, uint16_t status)
 {
     transition(call, RequestEvent::Answered);
-    turn.emit(AnswerCall { id, call.attempt });
-    auto kind = isServerError(call.lastStatus) ? DecisionKind::RequestFailed : DecisionKind::RequestAnswered;
-    explain(turn, kind, call, "answer", "status " + std::to_string(call.lastStatus) + " after " + std::to_string((turn.now() - call.arrivedAt) / 1ms) + " ms, attempt " + std::to_string(call.attempts));
+    turn.emit(AnswerCall { id, attempt });
+    auto kind = isServerError(status) ? DecisionKind::RequestFailed : DecisionKind::RequestAnswered;
+    explain(turn, kind, call, "answer", "status " + std::to_string(status) + " after " + std::to_string((turn.now() - call.arrivedAt) / 1ms) + " ms, attempt " + std::to_string(call.attempts));
     remove(id);
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::conclude(Turn& turn, CallId id, CallRecord& call)
 {
+    if (call.failedAttempt) {
+        answerFrom(turn, id, call, *call.failedAttempt, call.failedStatus);
+        return;
+    }
     transition(call, call.mayHaveRun ? RequestEvent::OutcomeLost : RequestEvent::Refused);
     tellRefusal(turn, id, call, call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun);
     remove(id);
--- a/Libraries/LibDecision/Calls/RetryBudget.cpp
+++ b/Libraries/LibDecision/Calls/RetryBudget.cpp
@@ -1,36 +1,33 @@
 #include <LibDecision/Calls/RetryBudget.h>
 
-#include <algorithm>
-
 namespace Decision {
 
-void RetryBudget::countFirstAttempt(const RetryPolicy& policy, size_t fleetSize, Instant now)
+void RetryBudget::countFirstAttempt(const RetryPolicy& policy, Instant now)
 {
-    fill(policy, fleetSize, now);
-    m_reruns.deposit(policy.fleetExtra > 0 ? usedShare * policy.budget : policy.budget);
+    fill(policy, now);
+    m_reruns.deposit(policy.budget);
     m_reroutes.deposit(rerouteShare);
+    m_replacements.deposit(replacementShare * policy.budget);
 }
 
-bool RetryBudget::take(RetryKind kind, const RetryPolicy& policy, size_t fleetSize, Instant now)
+bool RetryBudget::take(RetryKind kind, const RetryPolicy& policy, Instant now)
 {
-    fill(policy, fleetSize, now);
-    auto& bucket = kind == RetryKind::Rerun ? m_reruns : m_reroutes;
+    fill(policy, now);
+    bool isFleetBound = policy.fleetExtra > 0;
+    if (kind == RetryKind::Rerun && isFleetBound)
+        return true;
+    auto& bucket = kind == RetryKind::Reroute ? m_reroutes : isFleetBound ? m_replacements
+                                                                          : m_reruns;
     if (!bucket.hasToken())
         return false;
     bucket.take();
     return true;
 }
 
-void RetryBudget::fill(const RetryPolicy& policy, size_t fleetSize, Instant now)
+void RetryBudget::fill(const RetryPolicy& policy, Instant now)
 {
     m_reroutes.fill(reroutesPerSecond, now);
-    if (policy.fleetExtra == 0) {
-        m_reruns.fill(policy.minimumPerSecond, now);
-        return;
-    }
-    auto part = policy.fleetExtra / static_cast<double>(std::max<size_t>(1, fleetSize));
-    m_reruns.setLimit(std::max(1.0, savedShare * part));
-    m_reruns.fill(flowingShare * part / std::chrono::duration<double>(policy.window).count(), now);
+    m_reruns.fill(policy.minimumPerSecond, now);
 }
 
 }
--- a/Libraries/LibDecision/Calls/RetryBudget.h
+++ b/Libraries/LibDecision/Calls/RetryBudget.h
@@ -11,14 +11,17 @@
     Rerun,
     // The last send was refused before any backend server saw it.
     Reroute,
+    // The last send is still under way and is given up for this one.
+    Replacement,
 };
 
 // Bounds the retries of one service at one process. Reruns take from a budget that grows with first attempts by the
 // profile's share; reroutes, which cost no backend server anything, take from a separate larger allowance, so that a
 // drain or a full queue doesn't use up what real failures need.
 //
-// Where the profile bounds the retries of the whole fleet, each process takes its part: what all may save up, what
-// fills up with time and what first attempts bring stay below the bound together, in any span of the window.
+// Where the profile bounds the retries of the whole fleet, reruns are counted by the sidecars instead; see
+// FleetRetryShare. Only replacements take from a small allowance here, since they can't be refused once the send before
+// is given up.
 class RetryBudget {
 public:
     // Reroutes per first attempt.
@@ -27,24 +30,21 @@
     static constexpr double reroutesPerSecond = 10;
     // Most retries of one kind that may be saved up.
     static constexpr double burst = 10;
+    // Part of the fleet's share of first attempts that may be replacements, and how many of them may be saved up. All
+    // processes of a small deployment together stay below a fifth of the bound.
+    static constexpr double replacementShare = 0.3;
+    static constexpr double replacementBurst = 1;
 
-    // Parts of the fleet's extra retries that may be saved up, and that come with time. The rest is left for retries
-    // that a repeated run causes by calls of its own.
-    static constexpr double savedShare = 0.6;
-    static constexpr double flowingShare = 0.3;
-    // Part of the share of first attempts that is used, for the same reason.
-    static constexpr double usedShare = 0.7;
-
-    // The fleet size counts processes.
-    void countFirstAttempt(const RetryPolicy&, size_t fleetSize, Instant now);
+    void countFirstAttempt(const RetryPolicy&, Instant now);
     // Takes one retry from the allowance; gives false, and takes nothing, if none is left.
-    bool take(RetryKind, const RetryPolicy&, size_t fleetSize, Instant now);
+    bool take(RetryKind, const RetryPolicy&, Instant now);
 
 private:
-    void fill(const RetryPolicy&, size_t fleetSize, Instant now);
+    void fill(const RetryPolicy&, Instant now);
 
     TokenBucket m_reruns { burst };
     TokenBucket m_reroutes { burst };
+    TokenBucket m_replacements { replacementBurst };
 };
 
 }
--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -41,6 +41,7 @@
     bool isOnlyForFreeSlot { false };
     // True if no backend server looks better, so that suspicion is no reason to refuse.
     bool isLastResort { false };
+    ArrivalKind arrival { ArrivalKind::First };
     // True if the sidecar is only asked for a kept answer and must not run the request.
     bool isReplayOnly { false };
     // True if the sidecar is to recognise the order if it comes again.
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -66,6 +66,7 @@
     bool isOnlyForFreeSlot { false };
     // True if the ingress knows no backend server that looks better.
     bool isLastResort { false };
+    ArrivalKind arrival { ArrivalKind::First };
     // True if only a kept answer is asked for.
     bool isReplayOnly { false };
     // Set for an order that its ingress may send again over another connection.
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -29,7 +29,7 @@
     , m_calls(m_router, m_health, m_crashGuard, m_registry, m_profiles, { options.concurrentCalls })
 {
     m_health.useReachability([this](const InstanceId& instance) { return m_membership.isReachable(instance); });
-    m_calls.useFleetSize([this] { return m_membership.liveMembers().size(); });
+    m_admission.useServiceSize([this](const ServiceName& service) { return m_registry.backendsOf(service).size(); });
 }
 
 EffectList NodeState::start(Instant now)
@@ -151,6 +151,7 @@
     auto target = std::discrete_distribution<size_t>(weights.begin(), weights.end())(turn.random());
     arrived.request.service = route->targets[target].service;
     arrived.terms = CallTerms { route->name, route->isIdempotent, route->timeout, route->latencyObjective, route->priority, route->maximumAttempts };
+    arrived.terms->isCountedAsRetry = arrived.request.parent && m_admission.isRunningRetry(*arrived.request.parent);
     return std::nullopt;
 }
 
--- a/Libraries/LibModel/Profile.h
+++ b/Libraries/LibModel/Profile.h
@@ -83,7 +83,8 @@
     // Retries per second that are allowed even with little traffic.
     double minimumPerSecond { 1.0 };
     // Retries of one service that the whole fleet may add in any span of the window beyond its share of the callers'
-    // requests; every process takes its part of them. Zero means that each process has its own minimum instead.
+    // requests; every sidecar of the service takes its part of them. Zero means that each ingress has its own minimum
+    // instead.
     uint32_t fleetExtra { 0 };
     Duration window { 10s };
 };
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -135,6 +135,7 @@
     order.latencyObjective = effect.latencyObjective;
     order.isOnlyForFreeSlot = effect.isOnlyForFreeSlot;
     order.isLastResort = effect.isLastResort;
+    order.arrival = effect.arrival;
     order.isReplayOnly = effect.isReplayOnly;
     if (effect.isSettled)
         order.attempt = effect.attempt;
--- a/Services/fulmard/SidecarCalls.cpp
+++ b/Services/fulmard/SidecarCalls.cpp
@@ -48,6 +48,7 @@
     arrived.latencyObjective = order.latencyObjective;
     arrived.isOnlyForFreeSlot = order.isOnlyForFreeSlot;
     arrived.isLastResort = order.isLastResort;
+    arrived.arrival = order.arrival;
     arrived.isReplayOnly = order.isReplayOnly;
     if (order.attempt.value())
         arrived.key = Decision::RunKey { order.from, order.senderStart, order.attempt };
--- /dev/null
+++ b/Tests/LibDecision/Admission/TestFleetRetryShare.cpp
@@ -0,0 +1,211 @@
+#include <Tests/LibDecision/Admission/AdmissionRig.h>
+
+#include <LibDecision/Admission/FleetRetryShare.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Decision;
+
+namespace {
+
+RetryPolicy fleetPolicy(uint32_t extra)
+{
+    RetryPolicy policy;
+    policy.budget = 0.2;
+    policy.fleetExtra = extra;
+    return policy;
+}
+
+SidecarCallArrived retryOf(uint64_t call)
+{
+    auto arrival = AdmissionRig::arrivalOf(call, "b");
+    arrival.arrival = ArrivalKind::Retry;
+    return arrival;
+}
+
+RunReport goodRun()
+{
+    RunReport report;
+    report.status = 200;
+    report.elapsed = 1ms;
+    return report;
+}
+
+Profile fleetProfile(uint32_t extra)
+{
+    auto profile = warmProfile();
+    profile.retries = fleetPolicy(extra);
+    return profile;
+}
+
+// Sends retries until one is refused; gives how many ran.
+uint32_t retriesUntilRefusal(AdmissionRig& rig, uint64_t firstCall)
+{
+    constexpr uint32_t most = 1000;
+    for (uint32_t count = 0; count < most; ++count) {
+        if (effectsOf<RunCall>(rig.arrive(retryOf(firstCall + count))).empty())
+            return count;
+        rig.finish(firstCall + count, goodRun());
+    }
+    return most;
+}
+
+}
+
+RC_GTEST_PROP(FleetRetryShareProperties, AllSidecarsStayWithinTheBoundInEveryWindow, ())
+{
+    auto policy = fleetPolicy(*rc::gen::inRange<uint32_t>(40, 300));
+    auto sidecars = *rc::gen::inRange<size_t>(1, 40);
+    std::vector<FleetRetryShare> shares(sidecars);
+    auto requestsPerSecond = *rc::gen::inRange(1, 200);
+    std::vector<Instant> firsts;
+    std::vector<Instant> retries;
+    Instant start { 1h };
+    for (int step = 0; step < 20 * requestsPerSecond; ++step) {
+        auto now = start + step * Duration(1s) / requestsPerSecond;
+        auto& share = shares[step % sidecars];
+        share.countFirstArrival(policy, sidecars, now);
+        firsts.push_back(now);
+        while (share.hasLeft(policy, sidecars, now)) {
+            share.spend(policy, sidecars, now);
+            retries.push_back(now);
+        }
+    }
+    for (auto from = start; from < start + 10s; from += 500ms) {
+        auto isInWindow = [&](Instant at) { return at >= from && at < from + policy.window; };
+        auto allowed = policy.budget * static_cast<double>(std::ranges::count_if(firsts, isInWindow)) + policy.fleetExtra;
+        RC_ASSERT(static_cast<double>(std::ranges::count_if(retries, isInWindow)) <= allowed);
+    }
+}
+
+TEST(FleetRetryShare, WhatIsOverdrawnIsPaidBackFirst)
+{
+    auto policy = fleetPolicy(100);
+    FleetRetryShare share;
+    Instant now { 1h };
+    for (int count = 0; count < 20; ++count)
+        share.spend(policy, 10, now);
+    // A part of 10 brings 0.35 a second: 20 overdrawn take about a minute.
+    EXPECT_FALSE(share.hasLeft(policy, 10, now + 30s));
+    EXPECT_TRUE(share.hasLeft(policy, 10, now + 70s));
+}
+
+TEST(FleetRetryShare, ASidecarRefusesRetriesBeyondItsShareAndSaysThatTheyDidNotRun)
+{
+    AdmissionRig rig(fleetProfile(60));
+    rig.admission.useServiceSize([](const ServiceName&) { return size_t(15); });
+    rig.announce("b", 1, 3);
+    // A share starts empty, so that processes that start don't add to what others have given away.
+    EXPECT_EQ(retriesUntilRefusal(rig, 1000), 0u);
+    rig.now += 30s;
+    auto ran = retriesUntilRefusal(rig, 1);
+    EXPECT_GE(ran, 1u);
+    EXPECT_LE(ran, 4u);
+    auto refusals = effectsOf<RefuseSidecarCall>(rig.arrive(retryOf(100)));
+    ASSERT_EQ(refusals.size(), 1u);
+    EXPECT_EQ(refusals.front().outcome, Outcome::NotRun);
+    EXPECT_EQ(refusals.front().reason, Reason::RetryBudgetExhausted);
+    EXPECT_EQ(effectsOf<RunCall>(rig.arrive(AdmissionRig::arrivalOf(101, "b"))).size(), 1u);
+}
+
+TEST(FleetRetryShare, FirstArrivalsOfCallersBringRetriesAndThoseOfNestedCallsDoNot)
+{
+    AdmissionRig callers(fleetProfile(10));
+    AdmissionRig nested(fleetProfile(10));
+    for (auto* rig : { &callers, &nested }) {
+        rig->admission.useServiceSize([](const ServiceName&) { return size_t(10); });
+        rig->announce("b", 1, 3);
+        retriesUntilRefusal(*rig, 1000);
+    }
+    for (uint64_t call = 1; call <= 20; ++call) {
+        callers.arrive(AdmissionRig::arrivalOf(call, "b"));
+        callers.finish(call, goodRun());
+        auto arrival = AdmissionRig::arrivalOf(call, "b");
+        arrival.request.parent = RequestId("parent");
+        nested.arrive(arrival);
+        nested.finish(call, goodRun());
+    }
+    EXPECT_GE(retriesUntilRefusal(callers, 2000), 1u);
+    EXPECT_EQ(retriesUntilRefusal(nested, 2000), 0u);
+}
+
+TEST(FleetRetryShare, AnOrderThatFindsNoFreeSlotBringsNoRetries)
+{
+    AdmissionRig rig(fleetProfile(10));
+    rig.admission.useServiceSize([](const ServiceName&) { return size_t(10); });
+    rig.announce("b", 1, 1);
+    retriesUntilRefusal(rig, 1000);
+    rig.arrive(AdmissionRig::arrivalOf(1, "b"));
+    for (uint64_t call = 2; call <= 40; ++call) {
+        auto arrival = AdmissionRig::arrivalOf(call, "b");
+        arrival.isOnlyForFreeSlot = true;
+        EXPECT_EQ(effectsOf<RefuseSidecarCall>(rig.arrive(arrival)).size(), 1u);
+    }
+    rig.finish(1, goodRun());
+    EXPECT_EQ(retriesUntilRefusal(rig, 2000), 0u);
+}
+
+TEST(FleetRetryShare, CallsOfARetriedRunAreNeverRefusedButCounted)
+{
+    AdmissionRig rig(fleetProfile(30));
+    rig.announce("b", 1, 3);
+    rig.now += 30s;
+    for (uint64_t call = 1; call <= 40; ++call) {
+        auto arrival = AdmissionRig::arrivalOf(call, "b");
+        arrival.request.parent = RequestId("parent");
+        arrival.arrival = ArrivalKind::Counted;
+        EXPECT_EQ(effectsOf<RunCall>(rig.arrive(arrival)).size(), 1u);
+        rig.finish(call, goodRun());
+    }
+    EXPECT_EQ(retriesUntilRefusal(rig, 100), 0u);
+}
+
+TEST(FleetRetryShare, ASidecarKnowsWhichOfItsRunsAreRetries)
+{
+    AdmissionRig rig(fleetProfile(60));
+    rig.announce("b", 1, 3);
+    rig.now += 30s;
+    rig.arrive(AdmissionRig::arrivalOf(1, "b"));
+    rig.arrive(retryOf(2));
+    EXPECT_FALSE(rig.admission.isRunningRetry(RequestId("request-1")));
+    EXPECT_TRUE(rig.admission.isRunningRetry(RequestId("request-2")));
+    rig.finish(2, goodRun());
+    EXPECT_FALSE(rig.admission.isRunningRetry(RequestId("request-2")));
+}
+
+TEST(FleetRetryShare, RetriesThatWaitDoNotOverdrawTheShareTogether)
+{
+    AdmissionRig rig(fleetProfile(60));
+    rig.admission.useServiceSize([](const ServiceName&) { return size_t(15); });
+    rig.announce("b", 1, 1);
+    retriesUntilRefusal(rig, 1000);
+    rig.now += 30s;
+    rig.arrive(AdmissionRig::arrivalOf(1, "b"));
+    uint32_t queued = 0;
+    for (uint64_t call = 2; call <= 7; ++call)
+        queued += effectsOf<RefuseSidecarCall>(rig.arrive(retryOf(call))).empty() ? 1 : 0;
+    EXPECT_GE(queued, 1u);
+    EXPECT_LE(queued, 4u);
+    // Those that gave up waiting are given back.
+    rig.advance(1s);
+    rig.finish(1, goodRun());
+    EXPECT_GE(retriesUntilRefusal(rig, 100), queued);
+}
+
+TEST(FleetRetryShare, CountsForTheBackendServersServiceWhateverTheOrderSays)
+{
+    AdmissionRig rig(fleetProfile(60));
+    std::vector<ServiceName> asked;
+    rig.admission.useServiceSize([&](const ServiceName& service) {
+        asked.push_back(service);
+        return size_t(1);
+    });
+    rig.announce("b", 1, 3);
+    auto arrival = retryOf(1);
+    arrival.request.service = ServiceName("the caller's host");
+    rig.arrive(arrival);
+    ASSERT_FALSE(asked.empty());
+    EXPECT_TRUE(std::ranges::all_of(asked, [](const ServiceName& service) { return service == ServiceName("desk"); }));
+}
--- a/Tests/LibDecision/Calls/TestCallParts.cpp
+++ b/Tests/LibDecision/Calls/TestCallParts.cpp
@@ -22,11 +22,11 @@
     for (const auto& [isFirst, elapsed] : steps) {
         now += Duration(elapsed);
         if (isFirst) {
-            budget.countFirstAttempt(policy, 1, now);
+            budget.countFirstAttempt(policy, now);
             ++firsts;
         } else {
-            reruns += budget.take(RetryKind::Rerun, policy, 1, now) ? 1 : 0;
-            reroutes += budget.take(RetryKind::Reroute, policy, 1, now) ? 1 : 0;
+            reruns += budget.take(RetryKind::Rerun, policy, now) ? 1 : 0;
+            reroutes += budget.take(RetryKind::Reroute, policy, now) ? 1 : 0;
         }
         auto seconds = 1 + std::chrono::duration<double>(now - start).count();
         constexpr double rounding = 1e-6;
@@ -35,32 +35,6 @@
     }
 }
 
-RC_GTEST_PROP(RetryBudgetProperties, AFleetStaysWithinItsBoundInEveryWindow, ())
-{
-    RetryPolicy policy;
-    policy.budget = 0.2;
-    policy.fleetExtra = *rc::gen::inRange(40, 300);
-    auto fleetSize = *rc::gen::inRange<size_t>(1, 40);
-    std::vector<RetryBudget> budgets(fleetSize);
-    auto requestsPerSecond = *rc::gen::inRange(1, 200);
-    std::vector<Instant> firsts;
-    std::vector<Instant> reruns;
-    Instant start { 1h };
-    for (int step = 0; step < 20 * requestsPerSecond; ++step) {
-        auto now = start + step * Duration(1s) / requestsPerSecond;
-        auto& budget = budgets[step % fleetSize];
-        budget.countFirstAttempt(policy, fleetSize, now);
-        firsts.push_back(now);
-        while (budget.take(RetryKind::Rerun, policy, fleetSize, now))
-            reruns.push_back(now);
-    }
-    for (auto from = start; from < start + 10s; from += 500ms) {
-        auto isInWindow = [&](Instant at) { return at >= from && at < from + policy.window; };
-        auto allowed = policy.budget * static_cast<double>(std::ranges::count_if(firsts, isInWindow)) + policy.fleetExtra;
-        RC_ASSERT(static_cast<double>(std::ranges::count_if(reruns, isInWindow)) <= allowed);
-    }
-}
-
 TEST(RetryBudget, AZeroBudgetAllowsNoRerun)
 {
     RetryPolicy policy;
@@ -68,26 +42,26 @@
     policy.minimumPerSecond = 0;
     RetryBudget budget;
     Instant now { 1h };
-    budget.countFirstAttempt(policy, 1, now);
-    EXPECT_FALSE(budget.take(RetryKind::Rerun, policy, 1, now));
-    EXPECT_FALSE(budget.take(RetryKind::Rerun, policy, 1, now + 1h));
+    budget.countFirstAttempt(policy, now);
+    EXPECT_FALSE(budget.take(RetryKind::Rerun, policy, now));
+    EXPECT_FALSE(budget.take(RetryKind::Rerun, policy, now + 1h));
 }
 
 TEST(RetryBudget, AQuietServiceMayRetry)
 {
     RetryBudget budget;
-    budget.countFirstAttempt({}, 1, Instant { 1h });
-    EXPECT_TRUE(budget.take(RetryKind::Rerun, {}, 1, Instant { 1h }));
-    EXPECT_FALSE(budget.take(RetryKind::Rerun, {}, 1, Instant { 1h }));
-    EXPECT_TRUE(budget.take(RetryKind::Rerun, {}, 1, Instant { 1h + 1s }));
+    budget.countFirstAttempt({}, Instant { 1h });
+    EXPECT_TRUE(budget.take(RetryKind::Rerun, {}, Instant { 1h }));
+    EXPECT_FALSE(budget.take(RetryKind::Rerun, {}, Instant { 1h }));
+    EXPECT_TRUE(budget.take(RetryKind::Rerun, {}, Instant { 1h + 1s }));
 }
 
 TEST(RetryBudget, ReroutesDoNotUseUpReruns)
 {
     RetryBudget budget;
-    budget.countFirstAttempt({}, 1, Instant { 1h });
-    while (budget.take(RetryKind::Reroute, {}, 1, Instant { 1h })) { }
-    EXPECT_TRUE(budget.take(RetryKind::Rerun, {}, 1, Instant { 1h }));
+    budget.countFirstAttempt({}, Instant { 1h });
+    while (budget.take(RetryKind::Reroute, {}, Instant { 1h })) { }
+    EXPECT_TRUE(budget.take(RetryKind::Rerun, {}, Instant { 1h }));
 }
 
 TEST(AttemptTimeout, FollowsTheLatencyAndLeavesTimeForAnotherAttempt)
--- a/Tests/LibDecision/Calls/TestCallProperties.cpp
+++ b/Tests/LibDecision/Calls/TestCallProperties.cpp
@@ -35,6 +35,8 @@
     bool isCallerGone { false };
     std::optional<AttemptId> attempt;
     bool isReplay { false };
+    // Attempts whose answer arrived whole.
+    std::set<AttemptId> wholeAnswers;
 };
 
 // Feeds steps to a call table and checks every effect against the ledger.
@@ -57,6 +59,7 @@
         case StepKind::FinishLate:
             if (!m_given.empty()) {
                 const auto& [call, attempt] = m_given[step.choice % m_given.size()];
+                m_ledgers.at(call).wholeAnswers.insert(attempt);
                 check(m_rig.finish(call.value(), attempt.value(), AttemptReport {}));
             }
             return;
@@ -151,9 +154,10 @@
             --ledger.mayHaveRun;
         auto attempt = *ledger.attempt;
         ledger.attempt.reset();
+        if (report.result == AttemptResult::Answered)
+            ledger.wholeAnswers.insert(attempt);
         auto effects = m_rig.finish(call.value(), attempt.value(), report);
         bool isDelivered = !effectsOf<AnswerCall>(effects).empty();
-        RC_ASSERT(report.result == AttemptResult::Answered || !isDelivered);
         RC_ASSERT(report.result != AttemptResult::Answered || report.status != 200 || isDelivered);
         check(effects);
     }
@@ -163,8 +167,11 @@
         for (const auto& effect : effects) {
             if (const auto* send = std::get_if<ForwardCall>(&effect))
                 checkSend(*send);
-            if (const auto* answer = std::get_if<AnswerCall>(&effect))
+            if (const auto* answer = std::get_if<AnswerCall>(&effect)) {
+                // Only an answer that arrived whole, for this very request, is ever delivered.
+                RC_ASSERT(m_ledgers.at(answer->call).wholeAnswers.contains(answer->attempt));
                 checkEnd(answer->call);
+            }
             if (const auto* refusal = std::get_if<RefuseCall>(&effect))
                 checkRefusal(*refusal);
             if (const auto* cancellation = std::get_if<CancelAttempt>(&effect))
--- a/Tests/LibDecision/Calls/TestCallTable.cpp
+++ b/Tests/LibDecision/Calls/TestCallTable.cpp
@@ -105,7 +105,97 @@
     rig.arrive(CallRig::arrivalOf(1));
     EXPECT_EQ(sendsIn(rig.finish(1, 1, answered(503))), 1u);
     rig.router.backends.clear();
-    expectRefusal(rig.finish(1, 2, failed(AttemptResult::RefusedNotRun, Reason::QueueFull)), Outcome::Unknown, Reason::QueueFull);
+    // The backend server's own answer tells more than that the outcome is unknown.
+    auto effects = rig.finish(1, 2, failed(AttemptResult::RefusedNotRun, Reason::QueueFull));
+    EXPECT_TRUE(effectsOf<RefuseCall>(effects).empty());
+    auto answers = effectsOf<AnswerCall>(effects);
+    ASSERT_EQ(answers.size(), 1u);
+    EXPECT_EQ(answers.front().attempt, AttemptId(1));
+
+    rig.router.backends = { BackendId("a"), BackendId("b") };
+    rig.now += 10s;
+    rig.arrive(CallRig::arrivalOf(2));
+    EXPECT_EQ(sendsIn(rig.finish(2, 3, failed(AttemptResult::Cut))), 1u);
+    rig.router.backends.clear();
+    expectRefusal(rig.finish(2, 4, failed(AttemptResult::RefusedNotRun, Reason::QueueFull)), Outcome::Unknown, Reason::QueueFull);
+}
+
+TEST(FleetRetries, ARetryAsksAnotherSidecarWhenOneHasNoneLeft)
+{
+    Profile profile;
+    profile.retries.fleetExtra = 60;
+    profile.retries.reroutes = 30;
+    CallRig rig(profile);
+    auto first = effectsOf<ForwardCall>(rig.arrive(CallRig::arrivalOf(1)));
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_EQ(first.front().arrival, ArrivalKind::First);
+    auto second = effectsOf<ForwardCall>(rig.finish(1, 1, answered(500)));
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_EQ(second.front().arrival, ArrivalKind::Retry);
+    auto third = effectsOf<ForwardCall>(rig.finish(1, 2, failed(AttemptResult::RefusedNotRun, Reason::RetryBudgetExhausted)));
+    ASSERT_EQ(third.size(), 1u);
+    EXPECT_EQ(third.front().arrival, ArrivalKind::Retry);
+    EXPECT_NE(third.front().backend, second.front().backend);
+    auto delivered = effectsOf<AnswerCall>(rig.finish(1, 3, answered(200)));
+    ASSERT_EQ(delivered.size(), 1u);
+    EXPECT_EQ(delivered.front().attempt, AttemptId(3));
+}
+
+TEST(FleetRetries, AFailureIsToldOnceNoSidecarHasARetryLeft)
+{
+    Profile profile;
+    profile.retries.fleetExtra = 60;
+    profile.retries.reroutes = 30;
+    CallRig rig(profile);
+    for (char name = 'e'; name <= 'l'; ++name)
+        rig.router.backends.emplace_back(std::string(1, name));
+    rig.arrive(CallRig::arrivalOf(1));
+    auto effects = rig.finish(1, 1, answered(500));
+    uint64_t sends = 1;
+    while (sendsIn(effects) == 1) {
+        ++sends;
+        effects = rig.finish(1, sends, failed(AttemptResult::RefusedNotRun, Reason::RetryBudgetExhausted));
+    }
+    auto delivered = effectsOf<AnswerCall>(effects);
+    ASSERT_EQ(delivered.size(), 1u);
+    EXPECT_EQ(delivered.front().attempt, AttemptId(1));
+    EXPECT_EQ(rig.calls.inFlight(), 0u);
+}
+
+TEST(FleetRetries, ASlowSendIsGivenUpOnlyForOneThatIsNotRefused)
+{
+    Profile profile;
+    profile.retries.fleetExtra = 60;
+    profile.retries.reroutes = 30;
+    CallRig rig(profile);
+    uint64_t attempt = 0;
+    std::vector<ForwardCall> replacements;
+    // Enough first attempts bring a replacement.
+    for (uint64_t call = 1; call <= 100 && replacements.empty(); ++call) {
+        rig.arrive(CallRig::arrivalOf(call));
+        ++attempt;
+        replacements = effectsOf<ForwardCall>(rig.advance(1500ms));
+        if (replacements.empty())
+            rig.finish(call, attempt, answered());
+    }
+    ASSERT_EQ(replacements.size(), 1u);
+    EXPECT_EQ(replacements.front().arrival, ArrivalKind::Counted);
+}
+
+TEST(FleetRetries, AnOrderThatReachedNoBackendServerIsNoRetry)
+{
+    Profile profile;
+    profile.retries.fleetExtra = 60;
+    profile.retries.reroutes = 30;
+    CallRig rig(profile);
+    rig.arrive(CallRig::arrivalOf(1));
+    auto again = effectsOf<ForwardCall>(rig.finish(1, 1, failed(AttemptResult::RefusedNotRun, Reason::BackendBusy)));
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_EQ(again.front().arrival, ArrivalKind::First);
+    // What a backend server rejects has arrived there.
+    auto rejected = effectsOf<ForwardCall>(rig.finish(1, 2, failed(AttemptResult::RefusedNotRun, Reason::BackendShedding)));
+    ASSERT_EQ(rejected.size(), 1u);
+    EXPECT_EQ(rejected.front().arrival, ArrivalKind::Retry);
 }
 
 TEST_F(CallTableTest, RefusalsForGoodAreNotTriedElsewhere)
