LibDecision: Tell news of a small fleet directly; LibControl: Compress messages

Change: in a fleet of up to 128 members, who has news first tells every member itself; accusations, refutations and operators' revisions stay epidemic, since they must not depend on one path (a property showed that). Messages over 200 bytes go as zlib streams, bounded when read. Verdicts aren't spread where the floor takes ejection out of use. No traceparent goes between processes where nothing is recorded.

--- a/Libraries/LibControl/ControlChannel.cpp
+++ b/Libraries/LibControl/ControlChannel.cpp
@@ -1,5 +1,7 @@
 #include <LibControl/ControlChannel.h>
 
+#include <LibControl/Compression.h>
+
 namespace Control {
 
 namespace {
@@ -23,7 +25,7 @@
     envelope.senderStart = m_start;
     envelope.sequence = ++m_lastSequence;
     envelope.message = { m_self, current, m_selfControl, std::move(body), routesVersion };
-    auto text = m_codec.encode(envelope);
+    auto text = compress(m_codec.encode(envelope));
     auto signature = m_signer.sign(messagePurpose, text);
     ++m_counters.messagesSent;
     m_counters.bytesSent += text.size();
@@ -49,7 +51,7 @@
     if (!m_signer.isValid(messagePurpose, message.text, message.signature))
         throw ControlError(Refusal::BadSignature, "unknown", "the signature doesn't match");
 
-    auto envelope = m_codec.decode(message.text);
+    auto envelope = m_codec.decode(decompress(message.text, maximumMessageBytes));
     const auto& sender = envelope.message.from;
     if (envelope.to != m_selfControl)
         throw ControlError(Refusal::WrongReceiver, sender.value(), "addressed to " + envelope.to.toString());
--- a/Libraries/LibControl/ControlChannel.h
+++ b/Libraries/LibControl/ControlChannel.h
@@ -12,6 +12,7 @@
 
 // A control message as it goes over HTTP.
 struct SignedMessage {
+    // JSON, or a zlib stream of it where that is shorter.
     std::string text;
     std::string signature;
 };
--- a/Libraries/LibDecision/Configuration/Configuration.cpp
+++ b/Libraries/LibDecision/Configuration/Configuration.cpp
@@ -129,7 +129,7 @@
 
     auto before = m_book.revision(revision.name);
     m_book.put({ std::move(profile), revision });
-    turn.spread(revision, Urgency::Immediate);
+    turn.spread(revision, Urgency::Epidemic);
     auto evidence = describe(revision) + ", supersedes revision " + std::to_string(before.value());
     turn.explain({ .kind = DecisionKind::ProfileAdopted, .step = "adopt-profile", .peer = "local", .profile = revision.name, .revision = revision.revision, .evidence = evidence });
     return true;
--- a/Libraries/LibDecision/Health/Health.cpp
+++ b/Libraries/LibDecision/Health/Health.cpp
@@ -612,8 +612,10 @@
 
 void Health::spreadVerdict(Turn& turn, const BackendRecord& record, BackendWatch& watch)
 {
+    // A floor that leaves all slots in use takes verdicts out of use, so that nobody needs to hear them.
+    bool isEjectionInUse = policyOf(record.service).floor < 1;
     auto level = levelOf(watch.reported);
-    if (level == watch.spreadLevel)
+    if (level == watch.spreadLevel || !isEjectionInUse)
         return;
     bool changesVerdict = level == levelOf(condemnedAt) || watch.spreadLevel == levelOf(condemnedAt);
     watch.spreadLevel = level;
--- a/Libraries/LibDecision/Membership/Dissemination.cpp
+++ b/Libraries/LibDecision/Membership/Dissemination.cpp
@@ -26,7 +26,7 @@
 uint32_t Dissemination::transmissionLimit(size_t members, Urgency urgency)
 {
     auto doublings = static_cast<uint32_t>(std::ceil(std::log2(static_cast<double>(members) + 1)));
-    if (urgency == Urgency::Immediate)
+    if (urgency != Urgency::Piggyback)
         return doublings + extraUrgentTransmissions;
     return std::max(doublings + extraTransmissions, minimumTransmissions);
 }
--- a/Libraries/LibDecision/Membership/Membership.cpp
+++ b/Libraries/LibDecision/Membership/Membership.cpp
@@ -3,6 +3,7 @@
 #include <LibDecision/Membership/RecordSize.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Decision {
 
@@ -17,6 +18,9 @@
     constexpr size_t maximumProbeRumorBytes = 4 * 1024;
     constexpr size_t maximumGossipRumorBytes = 16 * 1024;
     constexpr size_t gossipFanout = 3;
+    // In a fleet of up to so many members, who has news tells every member itself. That takes one message a member, where
+    // an epidemic takes one for each of its sends. Those that missed it hear of it from probes.
+    constexpr size_t largestDirectFleet = 128;
     constexpr Duration gossipInterval = std::chrono::milliseconds(60);
     // News that was never sent waits at most this long after the last message, so that bursts share messages.
     constexpr Duration gossipSpacing = std::chrono::milliseconds(20);
@@ -161,12 +165,14 @@
 std::vector<Rumor> Membership::takeNews(Turn& turn, const Message& message)
 {
     m_fetchedRecords.clear();
+    m_heardRecords.clear();
     auto isFetched = m_isCatchingUp && std::holds_alternative<SyncRecords>(message.body);
     std::vector<Rumor> news;
     for (const auto& rumor : rumorsOf(message.body)) {
         auto hash = contentHash(rumor);
         if (isKnown(rumor, hash))
             continue;
+        m_heardRecords.insert(hash);
         if (isFetched)
             m_fetchedRecords.insert(hash);
         if (const auto* member = std::get_if<MemberRecord>(&rumor)) {
@@ -192,14 +198,27 @@
         auto hash = contentHash(rumor);
         if (isReconciled(rumor))
             m_records.put(turn.now(), rumor, hash);
-        if (!m_fetchedRecords.contains(hash))
-            m_dissemination.add(rumor, urgency);
+        if (m_fetchedRecords.contains(hash))
+            continue;
+        bool isToldToAll = isDirect() && urgency == Urgency::Immediate;
+        m_dissemination.add(rumor, isToldToAll && (m_heardRecords.contains(hash) || tellAll(rumor)) ? Urgency::Piggyback : urgency);
     }
     m_fetchedRecords.clear();
-    if (m_dissemination.hasUnsentUrgent())
+    m_heardRecords.clear();
+    if (m_dissemination.hasUnsentUrgent() || !m_newsForAll.empty())
         gossipSoon(turn);
 }
 
+bool Membership::tellAll(const Rumor& rumor)
+{
+    auto bytes = estimatedSize(rumor);
+    if (m_newsForAllBytes + bytes > maximumGossipRumorBytes)
+        return false;
+    m_newsForAll.push_back(rumor);
+    m_newsForAllBytes += bytes;
+    return true;
+}
+
 // Probing.
 
 void Membership::probeNext(Turn& turn)
@@ -379,7 +398,10 @@
         m_schedule.add(record.instance, turn.random());
     }
     explainChange(turn, record, change.before);
-    turn.spread(record, Urgency::Immediate);
+    // Accusations and refutations decide whether a process counts as dead, whatever paths are cut.
+    bool isRefutation = record.state == MemberState::Alive && (change.before == MemberState::Suspect || change.before == MemberState::Alive);
+    bool isContested = record.state == MemberState::Suspect || isRefutation;
+    turn.spread(record, isContested ? Urgency::Epidemic : Urgency::Immediate);
     return true;
 }
 
@@ -395,7 +417,7 @@
     refuted.incarnation = heard.incarnation.next();
     m_members.merge(turn.now(), refuted);
     m_announcedAt = turn.now();
-    turn.spread(refuted, Urgency::Immediate);
+    turn.spread(refuted, Urgency::Epidemic);
     auto evidence = "heard itself called " + std::string(nameOf(heard.state)) + " in incarnation " + std::to_string(heard.incarnation.value());
     turn.explain({ .kind = DecisionKind::MemberRefuted, .step = "refute", .peer = own.instance.value(), .evidence = evidence });
 }
@@ -466,9 +488,36 @@
         return;
 
     auto members = m_members.peers().size() + 1;
+    if (m_gossipAllowance > 0) {
+        sendGossip(turn, reachablePeers(), std::exchange(m_newsForAll, {}));
+        m_newsForAllBytes = 0;
+    }
     auto rumors = m_gossipAllowance > 0
         ? m_dissemination.takeUrgent(members, targets.size(), maximumGossipRumorBytes)
         : m_dissemination.takeUrgentProfiles(members, targets.size(), maximumGossipRumorBytes);
+    sendGossip(turn, targets, rumors);
+
+    if (!m_dissemination.hasUrgent() && m_newsForAll.empty()) {
+        m_timers.cancel(Timer::Gossip);
+    } else if (m_dissemination.hasUnsentUrgent()) {
+        m_timers.set(Timer::Gossip, turn.now() + gossipSpacing);
+    }
+}
+
+bool Membership::isDirect() const
+{
+    return m_members.peers().size() < largestDirectFleet;
+}
+
+std::vector<InstanceId> Membership::reachablePeers() const
+{
+    auto peers = m_members.peers().all();
+    std::erase_if(peers, [&](const InstanceId& peer) { return m_paths.isLost(peer); });
+    return peers;
+}
+
+void Membership::sendGossip(Turn& turn, const std::vector<InstanceId>& targets, const std::vector<Rumor>& rumors)
+{
     if (rumors.empty())
         return;
     m_lastGossip = turn.now();
@@ -476,12 +525,6 @@
     for (const auto& target : targets)
         send(turn, target, Gossip { rumors });
     m_gossipAllowance -= static_cast<double>(m_counters.bytesSent - bytesBefore);
-
-    if (!m_dissemination.hasUrgent()) {
-        m_timers.cancel(Timer::Gossip);
-    } else if (m_dissemination.hasUnsentUrgent()) {
-        m_timers.set(Timer::Gossip, turn.now() + gossipSpacing);
-    }
 }
 
 std::vector<InstanceId> Membership::drawGossipTargets(Turn& turn)
--- a/Libraries/LibDecision/Membership/Membership.h
+++ b/Libraries/LibDecision/Membership/Membership.h
@@ -121,6 +121,12 @@
 
     void gossipSoon(Turn&);
     void gossip(Turn&);
+    // Whether news goes to every member at once.
+    bool isDirect() const;
+    // Puts the rumor into the next message to all. Returns false if there is no room for it.
+    bool tellAll(const Rumor&);
+    std::vector<InstanceId> reachablePeers() const;
+    void sendGossip(Turn&, const std::vector<InstanceId>& targets, const std::vector<Rumor>&);
     std::vector<InstanceId> drawGossipTargets(Turn&);
 
     void join(Turn&);
@@ -152,6 +158,11 @@
     MembershipCounters m_counters;
     // Records that a joiner fetched; everybody else knows them, so they aren't passed on.
     std::unordered_set<uint64_t> m_fetchedRecords;
+    // What the message at hand brought: its sender, or somebody before it, told it to the others.
+    std::unordered_set<uint64_t> m_heardRecords;
+    // What this process tells every member of a small fleet with its next message.
+    std::vector<Rumor> m_newsForAll;
+    size_t m_newsForAllBytes { 0 };
     bool m_isCatchingUp { true };
     bool m_syncFoundDifference { false };
     bool m_awaitsDigest { false };
--- a/Libraries/LibDecision/Turn.h
+++ b/Libraries/LibDecision/Turn.h
@@ -14,8 +14,10 @@
 enum class Urgency {
     // Rides on the next probes.
     Piggyback,
-    // Goes to several members at once, and rides on probes as well.
+    // Goes to several members at once, and rides on probes as well. In a small fleet, who has it first tells all.
     Immediate,
+    // Goes to several members at once by everybody who hears it, so that it doesn't depend on any one path.
+    Epidemic,
 };
 
 struct SpreadRumor {
--- a/Libraries/LibTelemetry/JsonLinesTracer.cpp
+++ b/Libraries/LibTelemetry/JsonLinesTracer.cpp
@@ -44,6 +44,12 @@
     return context ? context->traceparent() : std::string();
 }
 
+bool JsonLinesTracer::mustPropagate(const opentracing::Span& span) const
+{
+    auto context = dynamic_cast<const TraceContext*>(&span.context());
+    return m_options.sampledShare > 0 || (context && context->isSampled());
+}
+
 std::unique_ptr<opentracing::Span> JsonLinesTracer::StartSpanWithOptions(opentracing::string_view name, const opentracing::StartSpanOptions& options) const noexcept
 {
     auto parent = parentOf(options);
--- a/Libraries/LibTelemetry/JsonLinesTracer.h
+++ b/Libraries/LibTelemetry/JsonLinesTracer.h
@@ -33,6 +33,8 @@
 
     // The header that carries a span's identity on.
     static std::string traceparentOf(const opentracing::Span&);
+    // Says whether the next hop has to know of the span. Not so if this fleet records no traces and the caller asked for none.
+    bool mustPropagate(const opentracing::Span&) const;
 
     // The OpenTracing interface, https://opentracing.io/specification/
     // NOLINTBEGIN(readability-identifier-naming)
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -1,5 +1,6 @@
 #include <Services/fulmard/Daemon.h>
 
+#include <LibControl/Compression.h>
 #include <LibDecision/NodeState.h>
 #include <Services/fulmard/ClientOutcome.h>
 
@@ -345,7 +346,8 @@
     request.to = effect.to;
     request.request.method = "POST";
     request.request.target = messagePath;
-    request.request.headers = Transport::HeaderList { Transport::HttpHeader { "content-type", "application/json" }, Transport::HttpHeader { signatureHeader, sealed.signature } };
+    auto contentType = Control::isCompressed(sealed.text) ? "application/zlib" : "application/json";
+    request.request.headers = Transport::HeaderList { Transport::HttpHeader { "content-type", contentType }, Transport::HttpHeader { signatureHeader, sealed.signature } };
     request.request.body = std::move(sealed.text);
     request.deadline = messageDeadline;
     request.maximumConnections = connectionsPerPeer;
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -176,7 +176,8 @@
     Transport::ClientRequest request;
     request.to = effect.sidecarControl;
     request.request = *call.request;
-    Transport::setHeader(request.request.headers, "traceparent", Telemetry::JsonLinesTracer::traceparentOf(*attempt.span));
+    if (m_parties.observability.tracer().mustPropagate(*attempt.span))
+        Transport::setHeader(request.request.headers, "traceparent", Telemetry::JsonLinesTracer::traceparentOf(*attempt.span));
     request.request.headers.push_back({ "fulmar-run", m_parties.orders.seal(order) });
     request.deadline = effect.remaining;
     request.progressTimeout = effect.progressTimeout * sidecarPatienceFactor;
--- a/Tests/Bench/FulmarPolicy.cpp
+++ b/Tests/Bench/FulmarPolicy.cpp
@@ -104,7 +104,7 @@
         // Every process hears it from the origin; passing it on again would bring no news.
         if (!report || report->observer != m_processes[process]->members.self().instance)
             continue;
-        auto delay = rumor.urgency == Urgency::Immediate ? immediateRumorTime : piggybackRumorTime;
+        auto delay = rumor.urgency != Urgency::Piggyback ? immediateRumorTime : piggybackRumorTime;
         for (int receiver = 0; receiver < static_cast<int>(m_processes.size()); ++receiver) {
             if (receiver != process)
                 m_deliveries.emplace(turn.now() + delay, Delivery { receiver, *report });
--- a/Tests/LibDecision/Claims/ClaimsFleet.cpp
+++ b/Tests/LibDecision/Claims/ClaimsFleet.cpp
@@ -354,7 +354,7 @@
 void ClaimsFleet::spread(const Process& from, const SpreadRumor& rumor)
 {
     for (const auto& process : m_processes) {
-        auto delay = between(1ms, rumor.urgency == Urgency::Immediate ? 200ms : 2s);
+        auto delay = between(1ms, rumor.urgency != Urgency::Piggyback ? 200ms : 2s);
         if (process.index != from.index)
             later(delay, [this, index = process.index, from = from.index, rumor] { hear(index, from, rumor); });
     }
