LibDecision: Keep a replacement unrefused until it arrives

The caller got 502 while its first backend server had been at work.

Change: a replacement stays one that no share refuses until it has arrived at a backend server. Ruled out: load (the 37 ms between the cut and the answer are six refusals). The test fails without the change.

--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -40,7 +40,7 @@
     bool mayHaveRun { false };
     // True once any send may have reached a backend server, be it one that rejected it.
     bool mayHaveArrived { false };
-    // True if the last send was given up for the next one, which must then not be refused for being a retry.
+    // True if a send was given up for the next one, which must then not be refused for being a retry, until one arrives.
     bool isGivenUpForNext { false };
     // The last send that a backend server answered with an error of its own, and that answer's status. The shell keeps
     // the answer until the request's end.
--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -122,6 +122,8 @@
 
     void account(Turn&, CallId, CallRecord&, const AttemptReport&);
     void handleVerdict(Turn&, CallId, CallRecord&, const AttemptReport&);
+    // The last send may have reached a backend server.
+    static void noteArrival(CallRecord&);
     // What the next send counts as where arrivals at backend servers are bounded.
     static ArrivalKind nextArrival(const CallRecord&);
     RetryKind kindAfterRefusal(const CallRecord&, const AttemptReport&) const;
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -212,7 +212,6 @@
     effect.isOnlyForFreeSlot = call.reroutes < std::min(freeSlotTries, profile.retries.reroutes) && !choice.isFull;
     effect.isLastResort = choice.faultProbability >= profile.health.faultBound;
     effect.arrival = nextArrival(call);
-    call.isGivenUpForNext = false;
     effect.latencyObjective = call.terms.latencyObjective;
     call.backend = choice.backend;
     call.tried.push_back(choice.backend.id);
@@ -324,7 +323,7 @@
     case AttemptVerdict::Deliver:
     case AttemptVerdict::ServerFailed:
         call.mayHaveRun = true;
-        call.mayHaveArrived = true;
+        noteArrival(call);
         call.failedAttempt = call.attempt;
         call.failedStatus = report.status;
         if (!call.terms.isIdempotent || !retry(turn, id, call, RetryKind::Rerun))
@@ -335,7 +334,8 @@
             conclude(turn, id, call);
             return;
         }
-        call.mayHaveArrived |= report.reason == Reason::BackendShedding;
+        if (report.reason == Reason::BackendShedding)
+            noteArrival(call);
         if (report.reason != Reason::BackendShedding && reroute(turn, id, call))
             return;
         retryOrConclude(turn, id, call, kindAfterRefusal(call, report));
@@ -345,7 +345,7 @@
         return;
     case AttemptVerdict::MayHaveRun:
         call.mayHaveRun = true;
-        call.mayHaveArrived = true;
+        noteArrival(call);
         if (call.terms.isIdempotent)
             retryOrConclude(turn, id, call, RetryKind::Rerun);
         else
@@ -357,6 +357,13 @@
     }
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+void CallTable<Routing, Observer, Directory>::noteArrival(CallRecord& call)
+{
+    call.mayHaveArrived = true;
+    call.isGivenUpForNext = false;
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 ArrivalKind CallTable<Routing, Observer, Directory>::nextArrival(const CallRecord& call)
 {
@@ -462,7 +469,7 @@
     report.elapsed = turn.now() - call.attemptStartedAt;
     account(turn, id, call, report);
     call.mayHaveRun = true;
-    call.mayHaveArrived = true;
+    noteArrival(call);
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
--- a/Tests/LibDecision/Calls/TestCallTable.cpp
+++ b/Tests/LibDecision/Calls/TestCallTable.cpp
@@ -180,6 +180,14 @@
     }
     ASSERT_EQ(replacements.size(), 1u);
     EXPECT_EQ(replacements.front().arrival, ArrivalKind::Counted);
+    // A sidecar that has no room for it doesn't make it one that may be refused: the send before is gone already.
+    auto call = replacements.front().call.value();
+    auto next = effectsOf<ForwardCall>(rig.finish(call, replacements.front().attempt.value(), failed(AttemptResult::RefusedNotRun, Reason::BackendBusy)));
+    ASSERT_EQ(next.size(), 1u);
+    EXPECT_EQ(next.front().arrival, ArrivalKind::Counted);
+    next = effectsOf<ForwardCall>(rig.finish(call, next.front().attempt.value(), answered(500)));
+    ASSERT_EQ(next.size(), 1u);
+    EXPECT_EQ(next.front().arrival, ArrivalKind::Retry);
 }
 
 TEST(FleetRetries, AnOrderThatReachedNoBackendServerIsNoRetry)
