--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -84,10 +84,9 @@
     : m_options(std::move(options))
     , m_appender(std::make_unique<Appender>())
 {
-    // The library is never ended: to end it waits for a thread of its own, which may not get its turn before the process
-    // has to be gone.
-    static auto* const initializer = new log4cplus::Initializer;
-    static_cast<void>(initializer);
+    // The library is ended with the process and not with the log: its end waits for a thread of its own, which may not get
+    // its turn before the process has to be gone. fulmard leaves without that end.
+    static const log4cplus::Initializer initializer;
     // Nothing is logged asynchronously, so the library needs no threads beside the loop's.
     log4cplus::setThreadPoolSize(0);
     m_appender->logger = log4cplus::Logger::getInstance("fulmarsail");
