--- a/Libraries/LibDecision/Calls/RetryBudget.h
+++ b/Libraries/LibDecision/Calls/RetryBudget.h
@@ -30,8 +30,8 @@
     static constexpr double reroutesPerSecond = 10;
     // Most retries of one kind that may be saved up.
     static constexpr double burst = 10;
-    // Part of the fleet's share of first attempts that may be replacements, and how many of them may be saved up. All
-    // processes of a small deployment together stay below a fifth of the bound.
+    // Part of the fleet's share of first attempts that may be replacements, and how many of them may be saved up. The
+    // sidecars count them against their parts, so that they leave less for other retries.
     static constexpr double replacementShare = 0.3;
     static constexpr double replacementBurst = 1;
 
