--- a/Libraries/LibDecision/Admission/AdmittedCall.h
+++ b/Libraries/LibDecision/Admission/AdmittedCall.h
@@ -26,6 +26,8 @@
     RequestInfo request;
     bool isIdempotent { false };
     ArrivalKind arrival { ArrivalKind::First };
+    // True if it holds one of the retries that this sidecar may let in.
+    bool hasReservedRetry { false };
     AdmissionStage stage { AdmissionStage::Queued };
     Instant deadline;
     Instant startedAt;
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -128,7 +128,7 @@
     // Whether the request would be one retry too many for the fleet.
     bool isBeyondRetryShare(const SidecarCallArrived&, Instant now);
     // A retry counts from its admission on, so that those that wait don't overdraw the share together.
-    void reserveRetry(const AdmittedCall&, Instant now);
+    void reserveRetry(AdmittedCall&, Instant now);
     // The request is refused after all and never reaches the backend server.
     void giveRetryBack(const AdmittedCall&);
     void countArrival(const AdmittedCall&, Instant now);
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -336,18 +336,19 @@
 }
 
 template <ClaimGate Gate, RunObserver Observer>
-void SidecarAdmission<Gate, Observer>::reserveRetry(const AdmittedCall& admitted, Instant now)
+void SidecarAdmission<Gate, Observer>::reserveRetry(AdmittedCall& admitted, Instant now)
 {
     const auto& policy = profileOf(admitted.backend).retries;
+    admitted.hasReservedRetry = policy.fleetExtra > 0 && admitted.arrival == ArrivalKind::Retry;
     const auto& service = admitted.request.service;
-    if (policy.fleetExtra > 0 && admitted.arrival == ArrivalKind::Retry)
+    if (admitted.hasReservedRetry)
         m_retryShares[service].spend(policy, m_serviceSize(service), now);
 }
 
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::giveRetryBack(const AdmittedCall& admitted)
 {
-    if (profileOf(admitted.backend).retries.fleetExtra > 0 && admitted.arrival == ArrivalKind::Retry)
+    if (admitted.hasReservedRetry)
         m_retryShares[admitted.request.service].giveBack();
 }
 
--- a/Libraries/LibDecision/Membership/Membership.cpp
+++ b/Libraries/LibDecision/Membership/Membership.cpp
@@ -488,7 +488,7 @@
         return;
 
     auto members = m_members.peers().size() + 1;
-    if (m_gossipAllowance > 0) {
+    if (m_gossipAllowance > 0 && !m_newsForAll.empty()) {
         sendGossip(turn, reachablePeers(), std::exchange(m_newsForAll, {}));
         m_newsForAllBytes = 0;
     }
--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -51,7 +51,6 @@
         settings.notRun = reader.stringOr("not-run", settings.notRun);
         settings.notRunValue = reader.stringOr("not-run-value", settings.notRunValue);
         settings.answerProof = reader.stringOr("answer-proof", settings.answerProof);
-        settings.backendId = reader.stringOr("backend-id", settings.backendId);
         settings.statuses = reader.enumeration<StatusScheme>("statuses", settings.statuses);
         for (const auto* name : { &settings.requestId, &settings.deadline, &settings.notRun }) {
             if (name->empty())
@@ -77,7 +76,6 @@
     settings.announcements = reader.endpointOr("announcements", std::nullopt);
     settings.readiness = reader.endpointOr("readiness", std::nullopt);
     settings.service = ServiceName(reader.stringOr("service", ""));
-    settings.backend = reader.endpointOr("backend", std::nullopt);
     settings.peers = reader.endpoints("peers");
     settings.platform = reader.endpoints("platform");
     if (settings.platform.empty())
--- a/Libraries/LibModel/Settings.h
+++ b/Libraries/LibModel/Settings.h
@@ -117,8 +117,6 @@
     std::string notRunValue { "not-run" };
     // Every good answer of a backend server carries it.
     std::string answerProof;
-    // Names the backend server in the answer to a health check.
-    std::string backendId;
     StatusScheme statuses { StatusScheme::ByReason };
 };
 
@@ -135,9 +133,8 @@
     std::optional<Endpoint> announcements;
     // Where the platform asks whether callers may come; the control endpoint if not given.
     std::optional<Endpoint> readiness;
-    // The service of the backend server beside this process, and its endpoint; not known if empty.
+    // The service of the backend server beside this process; not known if empty.
     ServiceName service;
-    std::optional<Endpoint> backend;
     // Control endpoints of processes to join through.
     std::vector<Endpoint> peers;
     // Endpoints of the platform's key-value service.
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -28,12 +28,11 @@
         return { status, { { "content-type", "text/plain; charset=utf-8" } }, text + "\n" };
     }
 
-    // The answer to a health check proves nothing beyond its status.
+    // The answer to a health check proves nothing beyond its status, so it is read without the edge's headers.
     Decision::RunReport probeReportOf(const Transport::ClientResult& result)
     {
-        EdgeSettings edge;
-        edge.answerProof.clear();
-        return runReportOf(result, edge);
+        static const EdgeSettings plainEdge;
+        return runReportOf(result, plainEdge);
     }
 
 }
