platform: Say in the log why the store gave no usable answer

Cause: what went wrong with a call of the store was kept in a member that nobody read, so `platform-lost` said only that a call had no answer. The test (the reply to a refused call names its status) fails without the change.

--- a/Libraries/LibDecision/Configuration/Configuration.cpp
+++ b/Libraries/LibDecision/Configuration/Configuration.cpp
@@ -66,25 +66,27 @@
 bool Configuration::handleReply(Turn& turn, const PlatformReply& reply)
 {
     if (m_watch.handleReply(turn, reply)) {
-        notePlatform(turn, reply.status);
+        notePlatform(turn, reply);
         for (const auto& value : reply.values)
             takeFromPlatform(turn, value);
         return true;
     }
     if (!m_seedList.handleReply(turn, reply))
         return false;
-    notePlatform(turn, reply.status);
+    notePlatform(turn, reply);
     return true;
 }
 
-void Configuration::notePlatform(Turn& turn, PlatformStatus status)
+void Configuration::notePlatform(Turn& turn, const PlatformReply& reply)
 {
-    auto isReachable = status != PlatformStatus::NoAnswer;
+    auto isReachable = reply.status != PlatformStatus::NoAnswer;
     if (isReachable == m_isPlatformReachable)
         return;
     m_isPlatformReachable = isReachable;
     auto kind = isReachable ? DecisionKind::PlatformRestored : DecisionKind::PlatformLost;
-    auto evidence = isReachable ? "a call was answered" : "a call had no answer; every profile stays in force as it is";
+    std::string evidence = isReachable ? "a call was answered" : "a call had no answer; every profile stays in force as it is";
+    if (!reply.problem.empty())
+        evidence += ": " + reply.problem;
     turn.explain({ .kind = kind, .step = "watch-profiles", .peer = "platform", .evidence = evidence });
 }
 
--- a/Libraries/LibDecision/Configuration/Configuration.h
+++ b/Libraries/LibDecision/Configuration/Configuration.h
@@ -49,7 +49,7 @@
     bool supersedes(Turn&, const ProfileRevision&);
     void explainOlder(Turn&, const ProfileRevision&);
     void explainOnce(Turn&, DecisionKind, const ProfileName&, Revision, const std::string& identity, const std::string& evidence);
-    void notePlatform(Turn&, PlatformStatus);
+    void notePlatform(Turn&, const PlatformReply&);
 
     InstanceId m_self;
     ZoneName m_zone;
--- a/Libraries/LibDecision/PlatformOperation.h
+++ b/Libraries/LibDecision/PlatformOperation.h
@@ -108,7 +108,7 @@
     PlatformLease lease;
     // What WatchRoutes brought; empty if nothing is new or nothing was published.
     std::shared_ptr<const RouteTable> routes;
-    // Why the route table that was published can't be used; empty if it can.
+    // Why no usable answer came, or why the route table that was published can't be used; empty if nothing is wrong.
     std::string problem;
 };
 
--- a/Libraries/LibPlatform/ConsulStore.cpp
+++ b/Libraries/LibPlatform/ConsulStore.cpp
@@ -70,8 +70,10 @@
 
 void ConsulStore::finish(Call call, PlatformReply reply)
 {
-    if (reply.status == PlatformStatus::NoAnswer)
+    if (reply.status == PlatformStatus::NoAnswer) {
         ++m_counters.withoutAnswer;
+        reply.problem = m_lastError;
+    }
     if (reply.status == PlatformStatus::Refused)
         ++m_counters.refusals;
     reply.tag = call.tag;
--- a/Tests/PlatformAdapter/TestRevisionStore.cpp
+++ b/Tests/PlatformAdapter/TestRevisionStore.cpp
@@ -105,7 +105,9 @@
 {
     m_standIn.refuse(503);
     EXPECT_EQ(call(CompareAndSwap { "a", "b", {} }).status, PlatformStatus::NoAnswer);
-    EXPECT_EQ(call(WatchRoutes { 0, 1s }).status, PlatformStatus::NoAnswer);
+    auto watched = call(WatchRoutes { 0, 1s });
+    EXPECT_EQ(watched.status, PlatformStatus::NoAnswer);
+    EXPECT_NE(watched.problem.find("503"), std::string::npos) << watched.problem;
     m_standIn.refuse(0);
     EXPECT_EQ(call(CompareAndSwap { "a", "b", {} }).status, PlatformStatus::Done);
 }
