LibDecision, LibTelemetry: Show which routes a process has and hears of, and what arrivals count as

Added: events routes-watch-lost, routes-behind and request-counted-as-retry with the inputs; gauges of the version in force, the newest one heard and the age of the pending watch; totals of arrivals by kind. No decision changes.

--- a/Libraries/LibDecision/Admission/FleetRetryShare.h
+++ b/Libraries/LibDecision/Admission/FleetRetryShare.h
@@ -35,6 +35,8 @@
     void spend(const RetryPolicy&, size_t sidecars, Instant now);
     // Returns a deducted retry that didn't reach the backend server.
     void refund() { m_tokens.deposit(1); }
+    // Retries left as of the last call of another function; negative if more were deducted than there were.
+    double left() const { return m_tokens.tokens(); }
 
 private:
     void refill(const RetryPolicy&, size_t sidecars, Instant now);
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -43,6 +43,13 @@
         } -> std::same_as<std::optional<SidecarCallId>>;
 };
 
+// Requests that reached backend servers of this process, by what they count as under the fleet-wide limit on retries.
+struct ArrivalCounters {
+    uint64_t first { 0 };
+    uint64_t retries { 0 };
+    uint64_t countedAsRetry { 0 };
+};
+
 // The interface to health checking that SidecarAdmission needs.
 template <typename T>
 concept RunObserver = requires(T& observer, const T& constObserver, Turn& turn, SidecarCallId call, const BackendId& backend, const RunReport& report)
@@ -98,6 +105,7 @@
     size_t inFlight() const { return m_calls.size(); }
     // Number of inputs about calls that had ended, and of calls that arrived twice.
     uint64_t ignoredInputs() const { return m_ignoredInputs; }
+    const ArrivalCounters& arrivals() const { return m_arrivals; }
 
 private:
     // Minimum usage charged for a request, so that no request is free.
@@ -142,7 +150,7 @@
     void reserveRetry(AdmittedCall&, Instant now);
     // Returns the deducted retry of a request that ends without reaching the backend server.
     void refundRetry(const AdmittedCall&);
-    void countArrival(const AdmittedCall&, Instant now);
+    void countArrival(Turn&, const AdmittedCall&);
     // Returns true if the backend server's fault probability is too high for such a request.
     bool exceedsFaultBound(const BackendId&, bool isIdempotent, Instant now) const;
     bool isTrialDue(const BackendOccupancy&, Instant now) const;
@@ -185,6 +193,7 @@
     // Instants at which another slot of a cold backend server becomes usable.
     TimerQueue<BackendId> m_rampTimers;
     uint64_t m_ignoredInputs { 0 };
+    ArrivalCounters m_arrivals;
     bool m_isLeaving { false };
 };
 
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -359,17 +359,22 @@
 }
 
 template <ClaimGate Gate, RunObserver Observer>
-void SidecarAdmission<Gate, Observer>::countArrival(const AdmittedCall& admitted, Instant now)
+void SidecarAdmission<Gate, Observer>::countArrival(Turn& turn, const AdmittedCall& admitted)
 {
+    ++(admitted.arrival == ArrivalKind::First ? m_arrivals.first : admitted.arrival == ArrivalKind::Retry ? m_arrivals.retries
+                                                                                                          : m_arrivals.countedAsRetry);
     const auto& policy = profileOf(admitted.backend).retries;
     if (policy.fleetExtra == 0)
         return;
     const auto& service = admitted.request.service;
+    auto& share = retryShareOf(service);
     if (admitted.arrival == ArrivalKind::CountedAsRetry)
-        retryShareOf(service).spend(policy, m_serviceSize(service), now);
+        share.spend(policy, m_serviceSize(service), turn.now());
     // Calls that running requests make aren't callers' requests, so their first arrivals deposit nothing.
     else if (admitted.arrival == ArrivalKind::First && !admitted.request.parent)
-        retryShareOf(service).countFirstArrival(policy, m_serviceSize(service), now);
+        share.countFirstArrival(policy, m_serviceSize(service), turn.now());
+    if (admitted.arrival != ArrivalKind::First)
+        explain(turn, DecisionKind::RequestCountedAsRetry, admitted.backend, admitted.request, "run", std::string(nameOf(admitted.arrival)) + "; " + std::to_string(share.left()) + " retries are left of a share among " + std::to_string(m_serviceSize(service)) + " backend servers");
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -528,7 +533,7 @@
     m_waitTimers.cancel(call);
     admitted.stage = AdmissionStage::Running;
     admitted.startedAt = turn.now();
-    countArrival(admitted, turn.now());
+    countArrival(turn, admitted);
     RunCall effect;
     effect.call = call;
     effect.backend = admitted.backend;
--- a/Libraries/LibDecision/Calls/TokenBucket.h
+++ b/Libraries/LibDecision/Calls/TokenBucket.h
@@ -20,6 +20,7 @@
     void refill(double tokensPerSecond, Instant now);
     // Returns true if at least one whole token is available.
     bool hasToken() const { return m_tokens >= 1; }
+    double tokens() const { return m_tokens; }
     void take() { m_tokens -= 1; }
 
 private:
--- a/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
@@ -70,7 +70,7 @@
         return;
     m_nextTimer.reset();
     if (m_pendingWatch)
-        return watchFailed(turn);
+        return watchFailed(turn, "timed out");
     // A process without a table reads it even if it is not a watcher.
     if (!m_table || isWatcher())
         return startWatch(turn);
@@ -86,6 +86,7 @@
 void RouteConfiguration::startWatch(Turn& turn)
 {
     m_pendingWatch = turn.callPlatform(WatchRoutes { m_storeIndex, watchWait });
+    m_watchStartedAt = turn.now();
     m_nextTimer = turn.now() + (m_storeIndex == 0 ? firstReplyTimeout : watchWait + replyGrace);
 }
 
@@ -94,7 +95,7 @@
     if (!m_pendingWatch || reply.tag != *m_pendingWatch)
         return false;
     if (reply.status != PlatformStatus::Done) {
-        watchFailed(turn);
+        watchFailed(turn, reply.problem);
         return true;
     }
     m_pendingWatch.reset();
@@ -114,8 +115,9 @@
     return true;
 }
 
-void RouteConfiguration::watchFailed(Turn& turn)
+void RouteConfiguration::watchFailed(Turn& turn, const std::string& reason)
 {
+    explain(turn, DecisionKind::RoutesWatchLost, "platform", version(), "after " + std::to_string(watchAge(turn.now()) / 1ms) + " ms: " + reason);
     m_pendingWatch.reset();
     // Makes the next watch return immediately, with any changes made in the meantime.
     m_storeIndex = 0;
@@ -126,6 +128,10 @@
 {
     if (!isUsed() || version <= this->version() || from == m_self)
         return;
+    if (version > m_newestHeard) {
+        m_newestHeard = version;
+        explain(turn, DecisionKind::RoutesBehind, from.value(), version, "version " + std::to_string(this->version().value()) + " is in force here");
+    }
     if (m_requestedAt && turn.now() - *m_requestedAt < requestInterval)
         return;
     m_requestedAt = turn.now();
--- a/Libraries/LibDecision/Configuration/RouteConfiguration.h
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.h
@@ -47,6 +47,10 @@
     bool isUsed() const { return m_mode == RoutingMode::RouteTable; }
     // Returns null if no table is in force yet.
     const RouteTable* table() const { return m_table.get(); }
+    // The highest version that a message of another process carried; 0 if none did.
+    Revision newestHeard() const { return m_newestHeard; }
+    // How long the pending watch has waited; zero without one.
+    Duration watchAge(Instant now) const { return m_pendingWatch ? now - m_watchStartedAt : Duration(0); }
     Revision version() const { return m_table ? m_table->version : Revision {}; }
     const Route* find(std::string_view authority, std::string_view target) const { return m_index.find(authority, target); }
 
@@ -60,7 +64,7 @@
 
     bool isWatcher() const;
     void startWatch(Turn&);
-    void watchFailed(Turn&);
+    void watchFailed(Turn&, const std::string& reason);
     void sendParts(Turn&, const Message& request) const;
     void receivePart(Turn&, const InstanceId& from, const RouteTablePart&);
     // Sends messages without contents to a few other processes. As all messages do, they carry the version in force here.
@@ -75,6 +79,8 @@
     std::shared_ptr<const RouteTable> m_table;
     RouteIndex m_index;
     std::optional<PlatformTag> m_pendingWatch;
+    Instant m_watchStartedAt;
+    Revision m_newestHeard;
     uint64_t m_storeIndex { 0 };
     bool m_hasSettled { false };
     // When the pending watch times out, or when to start the next one.
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -37,6 +37,9 @@
     ConnectionsOpen,
     PlatformReachable,
     KeptAnswers,
+    RoutesVersion,
+    RoutesNewestVersionHeard,
+    RoutesWatchSeconds,
 };
 
 // Totals that other parts count themselves; they are set to their current value.
@@ -49,6 +52,9 @@
     ConnectionsOpened,
     ConnectionsReused,
     LogLinesSuppressed,
+    FirstArrivals,
+    RetryArrivals,
+    CountedArrivals,
 };
 
 }
@@ -75,6 +81,9 @@
         EnumName { Telemetry::Gauge::ConnectionsOpen, "fulmar_connections_open" },
         EnumName { Telemetry::Gauge::PlatformReachable, "fulmar_platform_reachable" },
         EnumName { Telemetry::Gauge::KeptAnswers, "fulmar_kept_answers" },
+        EnumName { Telemetry::Gauge::RoutesVersion, "fulmar_routes_version" },
+        EnumName { Telemetry::Gauge::RoutesNewestVersionHeard, "fulmar_routes_newest_version_heard" },
+        EnumName { Telemetry::Gauge::RoutesWatchSeconds, "fulmar_routes_watch_seconds" },
     };
 };
 
@@ -89,6 +98,9 @@
         EnumName { Telemetry::Total::ConnectionsOpened, "fulmar_connections_opened_total" },
         EnumName { Telemetry::Total::ConnectionsReused, "fulmar_connections_reused_total" },
         EnumName { Telemetry::Total::LogLinesSuppressed, "fulmar_log_lines_suppressed_total" },
+        EnumName { Telemetry::Total::FirstArrivals, "fulmar_first_arrivals_total" },
+        EnumName { Telemetry::Total::RetryArrivals, "fulmar_retry_arrivals_total" },
+        EnumName { Telemetry::Total::CountedArrivals, "fulmar_counted_arrivals_total" },
     };
 };
 
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -307,6 +307,9 @@
     metrics.set(Gauge::ConnectionsOpen, static_cast<double>(m_client.counters().connectionsOpen));
     metrics.set(Gauge::PlatformReachable, state.configuration().isPlatformReachable() ? 1 : 0);
     metrics.set(Gauge::KeptAnswers, static_cast<double>(m_sidecarCalls.keptAnswers()));
+    metrics.set(Gauge::RoutesVersion, static_cast<double>(state.routes().version().value()));
+    metrics.set(Gauge::RoutesNewestVersionHeard, static_cast<double>(state.routes().newestHeard().value()));
+    metrics.set(Gauge::RoutesWatchSeconds, std::chrono::duration<double>(state.routes().watchAge(m_loop.now())).count());
 
     const auto& channel = m_channel.counters();
     metrics.set(Total::ControlMessagesSent, channel.messagesSent);
@@ -316,6 +319,10 @@
     metrics.set(Total::ControlMessagesRefused, std::accumulate(channel.refused.begin(), channel.refused.end(), uint64_t(0)));
     metrics.set(Total::ConnectionsOpened, m_client.counters().connectionsOpened);
     metrics.set(Total::ConnectionsReused, m_client.counters().connectionsReused);
+    const auto& arrivals = state.admission().arrivals();
+    metrics.set(Total::FirstArrivals, arrivals.first);
+    metrics.set(Total::RetryArrivals, arrivals.retries);
+    metrics.set(Total::CountedArrivals, arrivals.countedAsRetry);
     metrics.set(Total::LogLinesSuppressed, m_observability.log().suppressedLines());
     return metrics.prometheusText();
 }
--- a/Services/fulmard/Observability.cpp
+++ b/Services/fulmard/Observability.cpp
@@ -22,6 +22,7 @@
         KindLevel { DecisionKind::RequestQueued, LogLevel::Trace },
         KindLevel { DecisionKind::ProbeSent, LogLevel::Debug },
         KindLevel { DecisionKind::RequestRetried, LogLevel::Debug },
+        KindLevel { DecisionKind::RequestCountedAsRetry, LogLevel::Debug },
         KindLevel { DecisionKind::ClaimHeld, LogLevel::Debug },
         KindLevel { DecisionKind::RequestUnknown, LogLevel::Warn },
         KindLevel { DecisionKind::MemberDead, LogLevel::Warn },
@@ -32,6 +33,7 @@
         KindLevel { DecisionKind::CrashSuspected, LogLevel::Warn },
         KindLevel { DecisionKind::ProfileRejected, LogLevel::Error },
         KindLevel { DecisionKind::ProfileForked, LogLevel::Error },
+        KindLevel { DecisionKind::RoutesWatchLost, LogLevel::Warn },
         KindLevel { DecisionKind::PlatformLost, LogLevel::Warn },
     };
 
