LibTransport: Probe connections to the platform's store, so that a silent one ends in time

Cause: a watch waits up to 29 s on one connection. If something on the way forgets the connection, nothing comes any more, not even its end, and the process noticed after 32 s. If all connections go silent at once, no process of the fleet hears of a change. Class: an open connection was trusted as long as nobody closed it.

Change: clients of the store let the kernel probe their connections (keep-alive every second, 2 s without acknowledgement end the connection, also for bytes that were sent). A call that fails on an established connection drops the others to that endpoint. It costs no call to the platform.

--- a/Libraries/LibPlatform/ConsulStore.cpp
+++ b/Libraries/LibPlatform/ConsulStore.cpp
@@ -15,7 +15,7 @@
 
 ConsulStore::ConsulStore(EventLoop& loop, ConsulStoreSettings settings)
     : m_settings(std::move(settings))
-    , m_client(loop)
+    , m_client(loop, { .probesConnections = true })
 {
     if (m_settings.endpoints.empty())
         throw Error("open the platform's store", "local", "no endpoint is given");
@@ -56,6 +56,9 @@
         return;
     }
 
+    // What made this connection useless has probably struck the others as well.
+    if (result.status == ClientStatus::Cut || result.status == ClientStatus::TimedOut)
+        m_client.dropConnections(endpoint);
     m_lastError = endpoint.toString() + ": " + (result.error.empty() ? "unusable answer with status " + std::to_string(result.response.status) : result.error);
     if (m_settings.endpoints[m_current] == endpoint)
         m_current = (m_current + 1) % m_settings.endpoints.size();
--- a/Libraries/LibTransport/ClientConnection.cpp
+++ b/Libraries/LibTransport/ClientConnection.cpp
@@ -9,9 +9,10 @@
 
 namespace Transport {
 
-ClientConnection::ClientConnection(h2o_loop_t* loop, const Endpoint& endpoint)
+ClientConnection::ClientConnection(h2o_loop_t* loop, const Endpoint& endpoint, std::optional<Duration> silenceTimeout)
     : m_loop(loop)
     , m_endpoint(endpoint)
+    , m_silenceTimeout(silenceTimeout)
 {
 }
 
@@ -30,9 +31,25 @@
     if (!m_socket)
         return false;
     m_socket->data = this;
+    if (m_silenceTimeout)
+        probeWhileSilent(*m_silenceTimeout);
     return true;
 }
 
+void ClientConnection::probeWhileSilent(Duration timeout)
+{
+    auto set = [descriptor = h2o_socket_get_fd(m_socket)](int level, int option, int value) {
+        setsockopt(descriptor, level, option, &value, sizeof(value));
+    };
+    constexpr int probeIntervalSeconds = 1;
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probeIntervalSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, static_cast<int>(timeout / std::chrono::seconds(probeIntervalSeconds)) - 1);
+    // Holds also for bytes that were sent and not acknowledged, which the kernel doesn't probe.
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout / std::chrono::milliseconds(1)));
+}
+
 void ClientConnection::close()
 {
     m_isConnected = false;
--- a/Libraries/LibTransport/ClientConnection.h
+++ b/Libraries/LibTransport/ClientConnection.h
@@ -6,6 +6,7 @@
 #include <LibTransport/H2O.h>
 
 #include <functional>
+#include <optional>
 #include <span>
 
 namespace Transport {
@@ -13,8 +14,9 @@
 // One connection of the client, on the library's sockets. Its callbacks may destroy it.
 class ClientConnection {
 public:
-    // Throws Error if the address is no IP number.
-    ClientConnection(h2o_loop_t*, const Endpoint&);
+    // With a silence timeout, the connection ends once the peer's machine has acknowledged nothing for that time, although
+    // it was probed. Throws Error if the address is no IP number.
+    ClientConnection(h2o_loop_t*, const Endpoint&, std::optional<Duration> silenceTimeout);
     ~ClientConnection();
     ClientConnection(const ClientConnection&) = delete;
     ClientConnection& operator=(const ClientConnection&) = delete;
@@ -49,10 +51,13 @@
     TimerId idleTimer { 0 };
 
 private:
+    void probeWhileSilent(Duration timeout);
+
     static ClientConnection& of(h2o_socket_t* socket) { return *static_cast<ClientConnection*>(socket->data); }
 
     h2o_loop_t* m_loop;
     Endpoint m_endpoint;
+    std::optional<Duration> m_silenceTimeout;
     h2o_socket_t* m_socket { nullptr };
     bool m_isConnected { false };
     std::function<void(const char*)> m_onConnect;
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -13,8 +13,9 @@
 // How long after a whole answer a connection counts as proven.
 static constexpr Duration provenTime = 1s;
 
-HttpClient::Implementation::Implementation(EventLoop& eventLoop)
+HttpClient::Implementation::Implementation(EventLoop& eventLoop, ClientOptions clientOptions)
     : loop(eventLoop)
+    , options(clientOptions)
 {
 }
 
@@ -75,7 +76,7 @@
     }
     if (!makeRoom(request, pool))
         return nullptr;
-    auto connection = std::make_unique<ClientConnection>(loop.m_implementation->loop, request.to);
+    auto connection = std::make_unique<ClientConnection>(loop.m_implementation->loop, request.to, options.probesConnections ? std::optional(silenceTimeout) : std::nullopt);
     ++pool.connections;
     ++counters.connectionsOpen;
     return connection;
@@ -264,8 +265,8 @@
     loop.cancelTimer(open.progressTimer);
 }
 
-HttpClient::HttpClient(EventLoop& loop)
-    : m_implementation(std::make_unique<Implementation>(loop))
+HttpClient::HttpClient(EventLoop& loop, ClientOptions options)
+    : m_implementation(std::make_unique<Implementation>(loop, options))
 {
 }
 
--- a/Libraries/LibTransport/HttpClient.h
+++ b/Libraries/LibTransport/HttpClient.h
@@ -82,11 +82,20 @@
     uint64_t bytesReceived { 0 };
 };
 
+// A probed connection counts as broken if its peer's machine hasn't acknowledged anything for this time.
+constexpr Duration silenceTimeout = std::chrono::seconds(2);
+
+struct ClientOptions {
+    // Whether the kernel probes connections on which nothing moves. A connection that something on the way has forgotten
+    // then ends within silenceTimeout, also while a request waits on it for longer. The peer's program notices nothing.
+    bool probesConnections { false };
+};
+
 // Sends HTTP/1.1 requests by h2o, on pooled connections, and hands answers over whole.
 // It never sends a request twice by itself.
 class HttpClient {
 public:
-    explicit HttpClient(EventLoop&);
+    explicit HttpClient(EventLoop&, ClientOptions = {});
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
--- a/Libraries/LibTransport/HttpClientImplementation.h
+++ b/Libraries/LibTransport/HttpClientImplementation.h
@@ -36,7 +36,7 @@
         uint64_t generation { 0 };
     };
 
-    explicit Implementation(EventLoop&);
+    Implementation(EventLoop&, ClientOptions);
     ~Implementation();
 
     ClientRequestId send(ClientRequest, std::function<void(ClientResult)>);
@@ -44,6 +44,7 @@
     void dropConnections(const Endpoint&);
 
     EventLoop& loop;
+    ClientOptions options;
     std::unordered_map<ClientRequestId, OpenRequest> requests;
     std::map<Endpoint, EndpointPool> pools;
     ClientCounters counters;
--- a/Tests/LibTransport/RawServer.cpp
+++ b/Tests/LibTransport/RawServer.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -61,6 +62,14 @@
     setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
+void RawConnection::fallSilent()
+{
+    sock_filter dropAll { BPF_RET | BPF_K, 0, 0, 0 };
+    sock_fprog program { 1, &dropAll };
+    if (setsockopt(m_descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) != 0)
+        throw std::runtime_error("can't make the connection silent");
+}
+
 void RawConnection::waitForClose()
 {
     std::array<char, 4096> buffer {};
--- a/Tests/LibTransport/RawServer.h
+++ b/Tests/LibTransport/RawServer.h
@@ -27,6 +27,8 @@
     size_t readSome(size_t);
     // Makes the coming close a reset.
     void resetOnClose();
+    // Drops whatever the peer's machine sends from now on, so that nothing more is acknowledged.
+    void fallSilent();
     // Waits until the peer closes.
     void waitForClose();
 
--- a/Tests/LibTransport/TestHttpClient.cpp
+++ b/Tests/LibTransport/TestHttpClient.cpp
@@ -184,6 +184,42 @@
     EXPECT_EQ(client.counters().connectionsOpen, 0u);
 }
 
+// A watch waits for half a minute on a connection that may be forgotten on the way.
+TEST_F(HttpClientFaults, EndsALongWaitOnAConnectionThatWentSilent)
+{
+    std::atomic<bool> isOver { false };
+    RawServer server([&](RawConnection& connection) {
+        connection.readHead();
+        connection.fallSilent();
+        while (!isOver)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    });
+    HttpClient probingClient(loop, { .probesConnections = true });
+    auto request = get(server.endpoint());
+    request.deadline = 31s;
+    std::optional<ClientResult> result;
+    probingClient.send(std::move(request), [&](ClientResult ended) { result = std::move(ended); });
+    EXPECT_TRUE(runUntil([&] { return result.has_value(); }, silenceTimeout + 1s));
+    EXPECT_EQ(result.value_or(ClientResult {}).status, ClientStatus::Cut);
+    isOver = true;
+}
+
+TEST_F(HttpClientFaults, KeepsALongWaitOnAConnectionThatIsMerelyQuiet)
+{
+    RawServer server([](RawConnection& connection) {
+        connection.readHead();
+        std::this_thread::sleep_for(std::chrono::seconds(4));
+        connection.write(sizedAnswer);
+    });
+    HttpClient probingClient(loop, { .probesConnections = true });
+    auto request = get(server.endpoint());
+    request.deadline = 31s;
+    std::optional<ClientResult> result;
+    probingClient.send(std::move(request), [&](ClientResult ended) { result = std::move(ended); });
+    EXPECT_TRUE(runUntil([&] { return result.has_value(); }, 10s));
+    EXPECT_EQ(result.value_or(ClientResult {}).status, ClientStatus::Answered);
+}
+
 TEST_F(HttpClientFaults, DoesNotTakeASlowAnswerForSilence)
 {
     RawServer server([](RawConnection& connection) {
