LibDecision: Read the platform if a route table that another process announced doesn't arrive

Cause: a process that hears of a newer version asked one process for the table and then trusted that it comes. If the answer is lost (a one-way cut, a process that dies), or its own watch brings nothing although its connection is open, it waited for the next message from anyone. Parts of one version that came from two processes in turn displaced each other.

Change: a requested table is overdue after 300 ms; the platform is then read, and a pending watch, which the peers have overtaken, is abandoned. Parts complete each other by version. A process that is behind for a moment calls nobody: 50 changes 60 ms apart are still read by the watchers only.

--- a/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
@@ -24,8 +24,8 @@
     constexpr Duration electionInterval = std::chrono::seconds(2);
     // Time after the first read until the watchers are elected. Before, a process that starts knows too few others.
     constexpr Duration settlingTime = std::chrono::milliseconds(1500);
-    // Minimum time between two requests for a newer table. It gives the first process time to answer.
-    constexpr Duration requestInterval = std::chrono::milliseconds(300);
+    // Time that a process has to answer a request for its table before the platform is read instead.
+    constexpr Duration requestTimeout = std::chrono::milliseconds(300);
 
     std::vector<RouteTable> splitIntoParts(const RouteTable& table)
     {
@@ -62,10 +62,12 @@
         startWatch(turn);
 }
 
-std::optional<Instant> RouteConfiguration::nextTimer() const { return m_nextTimer; }
+std::optional<Instant> RouteConfiguration::nextTimer() const { return earliest(m_nextTimer, m_requestOverdueAt); }
 
 void RouteConfiguration::handleTimer(Turn& turn)
 {
+    if (m_requestOverdueAt && turn.now() >= *m_requestOverdueAt)
+        handleOverdueTable(turn);
     if (!m_nextTimer || turn.now() < *m_nextTimer)
         return;
     m_nextTimer.reset();
@@ -132,12 +134,25 @@
         m_newestHeard = version;
         explain(turn, DecisionKind::RoutesBehind, from.value(), version, "version " + std::to_string(this->version().value()) + " is in force here");
     }
-    if (m_requestedAt && turn.now() - *m_requestedAt < requestInterval)
+    if (m_requestOverdueAt)
         return;
-    m_requestedAt = turn.now();
+    m_requestedVersion = version;
+    m_requestOverdueAt = turn.now() + requestTimeout;
     turn.emit(SendMessage { control, from, RouteTableRequest { this->version() } });
 }
 
+void RouteConfiguration::handleOverdueTable(Turn& turn)
+{
+    m_requestOverdueAt.reset();
+    bool isReading = m_pendingWatch && m_storeIndex == 0;
+    if (version() >= m_requestedVersion || isReading)
+        return;
+    // If a watch is pending, its connection no longer brings anything: the platform had the version before any process.
+    explain(turn, DecisionKind::RoutesBehind, "platform", m_requestedVersion, "the version was requested from another process and is overdue; reading the platform");
+    m_storeIndex = 0;
+    startWatch(turn);
+}
+
 void RouteConfiguration::receive(Turn& turn, const Message& message)
 {
     requestIfNewer(turn, message.from, message.fromControl, message.routesVersion);
@@ -161,9 +176,12 @@
     constexpr uint32_t maximumParts = 1000;
     if (part.table.version <= version() || part.count == 0 || part.count > maximumParts || part.number >= part.count)
         return;
-    bool isSameTransfer = m_incomingTable && m_incomingTable->from == from && m_incomingTable->version == part.table.version && m_incomingTable->parts.size() == part.count;
-    if (!isSameTransfer)
-        m_incomingTable = IncomingTable { from, part.table.version, std::vector<std::optional<RouteTable>>(part.count) };
+    // Parts of one version are the same wherever they come from, so those of several processes complete each other.
+    if (m_incomingTable && m_incomingTable->version > part.table.version)
+        return;
+    bool isSameTable = m_incomingTable && m_incomingTable->version == part.table.version && m_incomingTable->parts.size() == part.count;
+    if (!isSameTable)
+        m_incomingTable = IncomingTable { part.table.version, std::vector<std::optional<RouteTable>>(part.count) };
     m_incomingTable->parts[part.number] = part.table;
     bool isComplete = std::ranges::all_of(m_incomingTable->parts, [](const auto& known) { return known.has_value(); });
     if (!isComplete)
--- a/Libraries/LibDecision/Configuration/RouteConfiguration.h
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.h
@@ -57,7 +57,6 @@
 private:
     // A table that is being received in parts.
     struct IncomingTable {
-        InstanceId from;
         Revision version;
         std::vector<std::optional<RouteTable>> parts;
     };
@@ -67,6 +66,8 @@
     void watchFailed(Turn&, const std::string& reason);
     void sendParts(Turn&, const Message& request) const;
     void receivePart(Turn&, const InstanceId& from, const RouteTablePart&);
+    // Reads the platform because the version that was requested from another process hasn't arrived.
+    void handleOverdueTable(Turn&);
     // Sends messages without contents to a few other processes. As all messages do, they carry the version in force here.
     void announce(Turn&) const;
     void explain(Turn&, DecisionKind, const std::string& peer, Revision, std::string evidence) const;
@@ -86,7 +87,9 @@
     // When the pending watch times out, or when to start the next one.
     std::optional<Instant> m_nextTimer;
     Backoff m_backoff;
-    std::optional<Instant> m_requestedAt;
+    // The version requested from another process, and when it is overdue.
+    Revision m_requestedVersion;
+    std::optional<Instant> m_requestOverdueAt;
     std::optional<IncomingTable> m_incomingTable;
 };
 
--- a/Tests/LibDecision/Configuration/TestRouteConfiguration.cpp
+++ b/Tests/LibDecision/Configuration/TestRouteConfiguration.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 #include <memory>
+#include <ranges>
 #include <rapidcheck/gtest.h>
 #include <set>
 #include <vector>
@@ -90,8 +91,10 @@
     void publish()
     {
         ++m_version;
-        for (const auto& [process, call] : std::exchange(m_watches, {}))
-            answer(process, call);
+        for (const auto& [process, call] : std::exchange(m_watches, {})) {
+            if (!deafWatchers.contains(process))
+                answer(process, call);
+        }
     }
 
     bool isInForceEverywhere()
@@ -105,9 +108,19 @@
 
     void runFor(Duration duration) { m_fleet.runFor(duration); }
     size_t calls() const { return m_calls; }
+    std::vector<size_t> watchers() const
+    {
+        std::vector<size_t> processes;
+        std::ranges::transform(m_watches, std::back_inserter(processes), [](const auto& watch) { return watch.first; });
+        return processes;
+    }
+    FakeFleet<RouteProcess>& fleet() { return m_fleet; }
 
     // Processes that the platform turns away.
     std::set<size_t> turnedAway;
+    // Processes whose watches are never answered; what they ask from then on is.
+    std::set<size_t> deafWatchers;
+    size_t routes { 1 };
 
 private:
     void forward(size_t process, const CallPlatform& call)
@@ -134,7 +147,10 @@
         auto table = std::make_shared<RouteTable>();
         table->version = Revision(m_version);
         table->services.push_back({ ServiceName("desk"), "/health", 10 });
-        table->routes.push_back({ "r", "office.example", "/a/", { { ServiceName("desk"), 1 } } });
+        for (size_t route = 0; route < routes; ++route) {
+            auto name = std::to_string(route);
+            table->routes.push_back({ "r" + name, "office.example", "/" + name + "/", { { ServiceName("desk"), 1 } } });
+        }
         m_fleet.deliverLater(process, 5ms, PlatformReplied { { .tag = call.tag, .status = PlatformStatus::Done, .index = m_version, .routes = table } });
     }
 
@@ -180,3 +196,49 @@
         RC_ASSERT(fleet.isInForceEverywhere());
     }
 }
+
+RC_GTEST_PROP(RouteConfiguration, ATableThatPeersAnnounceButDoNotDeliverIsReadFromThePlatform, ())
+{
+    RouteFleet fleet(20, 2, *rc::gen::arbitrary<uint64_t>());
+    auto& random = fleet.fleet().random();
+    auto lossPercent = *rc::gen::inRange(50, 101);
+    fleet.fleet().loses = [&random, lossPercent](const SendMessage& message) {
+        return std::holds_alternative<RouteTablePart>(message.body) && std::uniform_int_distribution(0, 99)(random) < lossPercent;
+    };
+    for (int change = 0; change < 3; ++change) {
+        // One watcher hears of the change.
+        for (size_t process : fleet.watchers() | std::views::drop(1)) {
+            if (*rc::gen::arbitrary<bool>())
+                fleet.deafWatchers.insert(process);
+        }
+        fleet.publish();
+        fleet.runFor(adoptionBound);
+        RC_ASSERT(fleet.isInForceEverywhere());
+        fleet.deafWatchers.clear();
+    }
+}
+
+RC_GTEST_PROP(RouteConfiguration, ATableOfManyPartsArrivesInSpiteOfLosses, ())
+{
+    RouteFleet fleet(12, 1, *rc::gen::arbitrary<uint64_t>());
+    fleet.routes = 3 * RouteConfiguration::routesPerPart;
+    fleet.fleet().faults.loss = 0.3;
+    fleet.publish();
+    fleet.runFor(adoptionBound);
+    RC_ASSERT(fleet.isInForceEverywhere());
+}
+
+// A process that is merely behind for a moment must not call the platform, since changes may follow each other closely.
+TEST(RouteConfiguration, ChangesInQuickSuccessionAreReadByTheWatchersOnly)
+{
+    constexpr size_t changes = 50;
+    RouteFleet fleet(120, 3, 1);
+    auto callsAtStart = fleet.calls();
+    for (size_t change = 0; change < changes; ++change) {
+        fleet.publish();
+        fleet.runFor(60ms);
+    }
+    fleet.runFor(adoptionBound);
+    EXPECT_TRUE(fleet.isInForceEverywhere());
+    EXPECT_LE(fleet.calls() - callsAtStart, (changes + 1) * 3 * RouteConfiguration::watchersPerZone);
+}
--- a/Tests/LibDecision/Membership/FakeFleet.h
+++ b/Tests/LibDecision/Membership/FakeFleet.h
@@ -148,6 +148,8 @@
     NetworkFaults faults;
     // Returns true for the messages to drop. If empty, none are dropped.
     Cut cut;
+    // Returns true for the messages to drop, by what they carry. If empty, none are dropped.
+    std::function<bool(const SendMessage&)> loses;
     // Called with every effect except SendMessage.
     EffectHandler onEffect;
     // Called with each message before any network fault is applied.
@@ -238,7 +240,7 @@
         if (onSend)
             onSend(from, message);
         auto target = m_byControl.find(message.to);
-        if (target == m_byControl.end() || (cut && cut(from, target->second)) || happens(faults.loss))
+        if (target == m_byControl.end() || (cut && cut(from, target->second)) || (loses && loses(message)) || happens(faults.loss))
             return;
         const auto& record = m_slots[from].record;
         Message received { record.instance, record.incarnation, record.control, std::move(message.body) };
