LibDecision: Count a request that a backend server refused as misdirected as an arrival

What callers saw: a backend server that starts anew under a new id answers 421 to what is meant for its predecessor.

Cause: 421 was reported with the reason that sidecars use for a stale record, which means that no backend server was reached. So the next send counted as a first arrival: it was never refused, and it even added to the share of retries. Class: a refusal by the sidecar and one by the backend server had one name.

Change: the reason backend-misdirected of its own counts as an arrival, as backend-shedding does. After such an answer the sidecar sends nothing more for 2 s or until the backend server is announced anew.

The test plays whole nodes with calls of running requests and counts arrivals as backend servers see them.

--- a/Libraries/LibDecision/Admission/AdmittedCall.h
+++ b/Libraries/LibDecision/Admission/AdmittedCall.h
@@ -65,6 +65,8 @@
     Duration serviceTime { 0 };
     CrashWatch crashWatch;
     FaultFilter faults;
+    // Until then no request is sent, because this incarnation refused one as meant for another backend server.
+    Instant misdirectedUntil;
     // The last request that was let in to find out whether a probable fault is over.
     std::optional<SidecarCallId> trial;
 };
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -112,6 +112,8 @@
     static constexpr Duration minimumCost = 1ms;
     // A cancelled run keeps its slot until its end is reported, but no longer than this.
     static constexpr Duration cancellationGrace = 100ms;
+    // Longer than the interval at which backend servers announce themselves, so that the successor is known by then.
+    static constexpr Duration misdirectionHold = 2s;
     // The moving average weights a new service time by 1 / serviceTimeSamples.
     static constexpr int serviceTimeSamples = 8;
 
@@ -124,6 +126,8 @@
     std::optional<Reason> dispatchRefusalFor(const AdmittedCall&, Instant now) const;
     std::optional<Reason> phaseRefusalFor(const LocalBackend*, Incarnation) const;
     bool hasSlotFor(const AdmittedCall&, Instant now) const;
+    // Returns true if another backend server has probably taken the place of this one.
+    bool isMisdirected(const BackendId&, Instant now) const;
 
     // Longest time that the request may wait for a slot here.
     Duration longestWait(const AdmittedCall&) const;
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -227,6 +227,8 @@
     chargeActualUsage(admitted, report, turn.now());
     updateServiceTime(m_occupancies[admitted.backend], report);
     observeFault(admitted, report, turn.now());
+    if (report.reason == Reason::BackendMisdirected && admitted.incarnation == m_occupancies[admitted.backend].incarnation)
+        m_occupancies[admitted.backend].misdirectedUntil = turn.now() + misdirectionHold;
     observeCrashes(turn, admitted, report);
     m_observer.runFinished(turn, call, admitted.backend, report);
     release(call);
@@ -272,6 +274,7 @@
     if (isNewIncarnation) {
         refuseQueue(turn, backend, Reason::StaleIncarnation);
         m_occupancies[backend].incarnation = local->announcement.incarnation;
+        m_occupancies[backend].misdirectedUntil = {};
     }
     if (auto refusalReason = phaseRefusalFor(local, m_occupancies[backend].incarnation))
         refuseQueue(turn, backend, *refusalReason);
@@ -292,7 +295,7 @@
 {
     LoadReport report;
     const auto* local = m_backends.find(backend);
-    if (local && local->phase == BackendPhase::Serving)
+    if (local && local->phase == BackendPhase::Serving && !isMisdirected(backend, now))
         report.slots = ColdStartRamp(local->servingSince, profileOf(backend).lifecycle.coldStart, local->announcement.slots).usableSlots(now);
     report.suspicion = m_observer.sidecarSuspicion(backend);
     auto occupancy = m_occupancies.find(backend);
@@ -324,6 +327,8 @@
     const auto* local = m_backends.find(arrival.backend);
     if (auto refusalReason = phaseRefusalFor(local, arrival.incarnation))
         return refusalReason;
+    if (isMisdirected(arrival.backend, turn.now()))
+        return Reason::StaleIncarnation;
     if (arrival.request.remaining && *arrival.request.remaining <= Duration::zero())
         return Reason::DeadlineExceeded;
     if (m_crashGuard.isRefused(arrival.request.fingerprint, profileOf(arrival.backend).crash, turn.now()))
@@ -435,6 +440,8 @@
 {
     if (auto refusalReason = phaseRefusalFor(m_backends.find(admitted.backend), admitted.incarnation))
         return refusalReason;
+    if (isMisdirected(admitted.backend, now))
+        return Reason::StaleIncarnation;
     if (admitted.deadline <= now)
         return Reason::DeadlineExceeded;
     if (m_crashGuard.isRefused(admitted.request.fingerprint, profileOf(admitted.backend).crash, now))
@@ -468,6 +475,13 @@
     return !mustRunAlone || occupancy.running == 0;
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+bool SidecarAdmission<Gate, Observer>::isMisdirected(const BackendId& backend, Instant now) const
+{
+    auto occupancy = m_occupancies.find(backend);
+    return occupancy != m_occupancies.end() && now < occupancy->second.misdirectedUntil;
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 Duration SidecarAdmission<Gate, Observer>::longestWait(const AdmittedCall& admitted) const
 {
--- a/Libraries/LibDecision/Calls/AttemptVerdict.cpp
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.cpp
@@ -76,6 +76,8 @@
     return Reason::None;
 }
 
+bool isRefusalByBackend(Reason reason) { return reason == Reason::BackendShedding || reason == Reason::BackendMisdirected; }
+
 bool isTransient(Reason reason)
 {
     switch (reason) {
@@ -85,6 +87,7 @@
     case Reason::FairShareExceeded:
     case Reason::BackendDraining:
     case Reason::BackendShedding:
+    case Reason::BackendMisdirected:
     case Reason::BackendSuspected:
     case Reason::BackendBusy:
     case Reason::BackendCold:
--- a/Libraries/LibDecision/Calls/AttemptVerdict.h
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.h
@@ -28,6 +28,9 @@
 // Returns why the attempt failed: the report's reason, or else the one implied by its result.
 Reason reasonOf(const AttemptReport&);
 
+// Returns true if a refusal for this reason comes from the backend server itself, so that the request has reached it.
+bool isRefusalByBackend(Reason);
+
 // Returns true if the reason is a temporary lack of capacity or configuration, so that a later retry may succeed.
 bool isTransient(Reason);
 
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -356,7 +356,7 @@
             conclude(turn, id, call);
             return;
         }
-        if (report.reason == Reason::BackendShedding)
+        if (isRefusalByBackend(report.reason))
             recordArrival(call);
         if (report.reason != Reason::BackendShedding && reroute(turn, id, call))
             return;
@@ -401,7 +401,7 @@
 {
     // A fleet-wide limit counts every arrival at a backend server, including those that it rejects.
     bool countsArrivals = profileOf(call.request.service).retries.fleetExtra > 0;
-    return countsArrivals && report.reason == Reason::BackendShedding ? RetryKind::Rerun : RetryKind::Reroute;
+    return countsArrivals && isRefusalByBackend(report.reason) ? RetryKind::Rerun : RetryKind::Reroute;
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
--- a/Services/fulmard/ClientOutcome.cpp
+++ b/Services/fulmard/ClientOutcome.cpp
@@ -78,7 +78,7 @@
     report.status = result.response.status;
     if (report.status == misdirectedRequest) {
         report.result = AttemptResult::RefusedNotRun;
-        report.reason = Reason::StaleIncarnation;
+        report.reason = Reason::BackendMisdirected;
     } else if (saysNotRun(result.response, edge)) {
         report.result = AttemptResult::RefusedNotRun;
         report.reason = Reason::BackendShedding;
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -17,13 +17,16 @@
 
 }
 
-NodeFleet::NodeFleet(uint64_t seed, size_t nodes)
-    : m_fleet(seed)
+NodeFleet::NodeFleet(uint64_t seed, size_t nodes, NodeFleetOptions options)
+    : m_options(std::move(options))
+    , m_fleet(seed)
     , m_generations(nodes)
 {
     m_fleet.onEffect = [this](size_t node, const Effect& effect) {
         std::visit([&](const auto& typed) { carryOut(node, typed); }, effect);
     };
+    if (m_options.routes)
+        m_platform.publishRoutes(m_options.routes);
     for (size_t node = 0; node < nodes; ++node)
         startNode(node);
 }
@@ -48,6 +51,8 @@
     options.seeds = { { "127.0.0.1", 2000 }, { "127.0.0.1", 2001 } };
     options.randomSeed = m_fleet.random()();
     options.leaveTimeout = leaveTimeout;
+    options.routing = m_options.routing;
+    options.defaultProfile = m_options.defaultProfile;
     m_fleet.start(options.self, std::make_unique<Node>(options));
 }
 
@@ -81,11 +86,12 @@
     auto& backend = m_backends[index];
     if (backend.isUp) {
         // If its sidecar has died, the backend server registers with the next process under a new incarnation.
-        if (!m_fleet.isRunning(backend.node)) {
+        if (!m_fleet.isRunning(backend.node) && !m_options.areBackendsTied) {
             backend.node = (backend.node + 1) % m_fleet.size();
             backend.incarnation = backend.incarnation.next();
         }
-        m_fleet.deliver(backend.node, BackendAnnounced { announcementOf(backend) });
+        if (m_fleet.isRunning(backend.node))
+            m_fleet.deliver(backend.node, BackendAnnounced { announcementOf(backend) });
     }
     m_fleet.callLater(announcementInterval, [this, index] { announce(index); });
 }
@@ -116,8 +122,10 @@
     request.ingress = node;
     request.sentAt = m_fleet.now();
     request.isIngressLost = !m_fleet.isRunning(node);
+    m_requestById[info.id] = m_requests.size();
     m_requests.push_back(request);
-    m_fleet.deliver(node, CallArrived { call, std::move(info) });
+    auto authority = info.service.value() + ".example";
+    m_fleet.deliver(node, CallArrived { call, std::move(info), authority, {} });
     return m_requests.size() - 1;
 }
 
@@ -234,6 +242,13 @@
     arrived.request = forwarded.request;
     arrived.isIdempotent = effect.isIdempotent;
     arrived.isReplayOnly = effect.isReplayOnly;
+    arrived.latencyObjective = effect.latencyObjective;
+    arrived.priority = effect.priority;
+    arrived.longestWait = effect.longestWait;
+    arrived.isOnlyForFreeSlot = effect.isOnlyForFreeSlot;
+    arrived.isLastResort = effect.isLastResort;
+    arrived.arrival = effect.arrival;
+    arrived.firstSentAgo = effect.firstSentAgo;
     m_forwardedCalls[{ forwarded.sidecar, arrived.call.value() }] = forwarded;
 
     // The attempt ends at the deadline if its answer was lost on a cut network path.
@@ -336,14 +351,22 @@
     SidecarKey key { node, effect.call.value() };
     auto forwarded = m_forwardedCalls.find(key);
     auto request = forwarded == m_forwardedCalls.end() ? RequestInfo {} : forwarded->second.request;
-    m_runs[key] = { node, m_generations[node], index, backend.incarnation, false, request };
+    auto& run = m_runs[key] = { node, m_generations[node], index, backend.incarnation, false, request };
     if (!backend.isUp || forwarded == m_forwardedCalls.end()) {
         m_fleet.callLater(networkDelay(), [this, key] { finishRun(key, AttemptResult::NotSent, 0); });
         return;
     }
 
-    for (auto& caller : m_requests)
-        caller.runs += caller.info.id == request.id ? 1 : 0;
+    countArrival(run, backend.service);
+    if (happens(backend.simulatedFaults.shedShare)) {
+        m_fleet.callLater(1ms, [this, key] { finishRun(key, AttemptResult::RefusedNotRun, 503, Reason::BackendShedding); });
+        return;
+    }
+    if (happens(backend.simulatedFaults.misdirectedShare)) {
+        m_fleet.callLater(1ms, [this, key] { finishRun(key, AttemptResult::RefusedNotRun, 421, Reason::BackendMisdirected); });
+        return;
+    }
+    ++m_requests[m_requestById.at(request.id)].runs;
     if (request.key)
         ++m_runsByKey[request.service.value() + "/" + request.key->value()];
     backend.lastRunAt = m_fleet.now();
@@ -363,10 +386,38 @@
     if (length > effect.remaining)
         result = AttemptResult::TimedOut;
     uint16_t status = happens(backend.simulatedFaults.errorShare) ? 500 : 200;
+    if (result == AttemptResult::Answered && status == 200 && happens(backend.callShare)) {
+        m_fleet.callLater(effect.remaining, [this, key] { finishRun(key, AttemptResult::TimedOut, 0); });
+        m_fleet.callLater(length, [this, key, backend] { makeCall(key, backend); });
+        return;
+    }
     m_fleet.callLater(std::min(length, effect.remaining), [this, key, result, status] { finishRun(key, result, result == AttemptResult::Answered ? status : 0); });
 }
 
-void NodeFleet::finishRun(SidecarKey key, AttemptResult result, uint16_t status)
+void NodeFleet::countArrival(Run& run, const ServiceName& backendService)
+{
+    auto& request = m_requests[m_requestById.at(run.request.id)];
+    run.isRepeat = request.arrivals > 0 || request.isCallOfRepeat;
+    ++request.arrivals;
+    m_arrivals.push_back({ backendService, m_fleet.now(), run.isRepeat });
+}
+
+void NodeFleet::makeCall(SidecarKey key, const FakeBackend& backend)
+{
+    auto run = m_runs.find(key);
+    if (run == m_runs.end() || !m_fleet.isRunning(backend.node))
+        return;
+    auto info = makeRequest(backend.calledService.value(), Method::Get);
+    info.id = RequestId(run->second.request.id.value() + "." + info.id.value());
+    info.parent = run->second.request.id;
+    info.remaining = 500ms;
+    bool isRepeat = run->second.isRepeat;
+    auto call = send(backend.node, std::move(info));
+    m_requests[call].isCallOfRepeat = isRepeat;
+    m_requests[call].waitingRun = key;
+}
+
+void NodeFleet::finishRun(SidecarKey key, AttemptResult result, uint16_t status, Reason reason)
 {
     auto run = m_runs.find(key);
     if (run == m_runs.end())
@@ -377,7 +428,7 @@
     if (result == AttemptResult::Answered)
         m_runAnswers[key] = run->second.request.id;
     if (!run->second.isCancelled && m_generations[key.first] == run->second.generation)
-        m_fleet.deliver(key.first, RunFinished { SidecarCallId(key.second), { result, status, Reason::None, 20ms } });
+        m_fleet.deliver(key.first, RunFinished { SidecarCallId(key.second), { result, status, reason, 20ms } });
     m_runs.erase(key);
 }
 
@@ -442,6 +493,10 @@
     request.reason = reason;
     request.answerOf = std::move(answerOf);
     request.outcomeAt = m_fleet.now();
+    if (request.waitingRun) {
+        uint16_t status = callerOutcome == CallerOutcome::Answered ? 200 : 500;
+        m_fleet.callLater(Duration::zero(), [this, key = *request.waitingRun, status] { finishRun(key, AttemptResult::Answered, status); });
+    }
 }
 
 void NodeFleet::carryOut(size_t, const RecordDecision& effect)
@@ -459,8 +514,12 @@
 
 void NodeFleet::carryOut(size_t node, const CallPlatform& effect)
 {
-    const auto* watch = std::get_if<WatchPrefix>(&effect.operation);
-    platformReply(node, m_generations[node], effect, m_fleet.now() + (watch ? watch->wait : Duration::zero()));
+    Duration wait { 0 };
+    if (const auto* watch = std::get_if<WatchPrefix>(&effect.operation))
+        wait = watch->wait;
+    if (const auto* watch = std::get_if<WatchRoutes>(&effect.operation))
+        wait = watch->wait;
+    platformReply(node, m_generations[node], effect, m_fleet.now() + wait);
 }
 
 void NodeFleet::platformReply(size_t node, uint32_t generation, const CallPlatform& call, Instant end)
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -20,6 +20,9 @@
     bool isStuck { false };
     double errorShare { 0 };
     double cutShare { 0 };
+    // Refused as not run: because it is full, or as meant for another backend server.
+    double shedShare { 0 };
+    double misdirectedShare { 0 };
     // A request crashes the backend server if the low half of its fingerprint has this value; 0 disables crashes.
     uint64_t crashFingerprint { 0 };
 };
@@ -32,6 +35,9 @@
     Incarnation incarnation { 1 };
     uint32_t slots { 3 };
     Duration serviceTime { 20ms };
+    // A run makes a call to this service with this probability, and fails if the call does.
+    ServiceName calledService;
+    double callShare { 0 };
     BackendFaults simulatedFaults;
     bool isUp { true };
     bool isDraining { false };
@@ -65,13 +71,35 @@
     std::optional<Instant> outcomeAt;
     bool isIngressLost { false };
     bool isCallerGone { false };
+    uint32_t arrivals { 0 };
+    // True for a call that a repeated run made.
+    bool isCallOfRepeat { false };
+    // The run that made this request as a call and waits for it.
+    std::optional<std::pair<size_t, uint64_t>> waitingRun;
+};
+
+// A request reached a backend server, which may have refused it.
+struct BackendArrival {
+    ServiceName service;
+    Instant at;
+    // Not the request's first arrival, or made by such a run.
+    bool isRepeat { false };
+};
+
+struct NodeFleetOptions {
+    RoutingMode routing { RoutingMode::ServiceHeader };
+    Profile defaultProfile;
+    // In force from the start, if requests are routed by a table.
+    std::shared_ptr<const RouteTable> routes;
+    // Whether a backend server whose sidecar has died waits for the sidecar's successor instead of moving elsewhere.
+    bool areBackendsTied { false };
 };
 
 // Simulates a fleet of complete nodes with a fake network, platform and backend servers. Records for each request what
 // its caller was told and how often it ran.
 class NodeFleet {
 public:
-    NodeFleet(uint64_t seed, size_t nodes);
+    NodeFleet(uint64_t seed, size_t nodes, NodeFleetOptions = {});
 
     // Adds a backend server whose sidecar is the node. Returns its index.
     size_t addBackend(const std::string& service, size_t node);
@@ -93,6 +121,7 @@
     FakePlatform& platform() { return m_platform; }
     std::vector<FakeBackend>& backends() { return m_backends; }
     const std::vector<CallerRequest>& requests() const { return m_requests; }
+    const std::vector<BackendArrival>& arrivals() const { return m_arrivals; }
     // Number of runs by "SERVICE/KEY", for requests with an idempotency key.
     const std::map<std::string, uint32_t>& runsByKey() const { return m_runsByKey; }
     const std::map<DecisionKind, size_t>& decisions() const { return m_decisions; }
@@ -124,6 +153,7 @@
         Incarnation incarnation;
         bool isCancelled { false };
         RequestInfo request;
+        bool isRepeat { false };
     };
 
     using SidecarKey = std::pair<size_t, uint64_t>;
@@ -160,13 +190,18 @@
     void arrive(ForwardedCall, const ForwardCall&);
     void finishForwardedCall(size_t node, SidecarCallId, AttemptReport, RequestId answerOf);
     void report(const ForwardedCall&, AttemptReport, Duration delay, RequestId answerOf);
-    void finishRun(SidecarKey, AttemptResult, uint16_t status);
+    void finishRun(SidecarKey, AttemptResult, uint16_t status, Reason = Reason::None);
+    // Counts the arrival of a run's request at its backend server.
+    void countArrival(Run&, const ServiceName&);
+    // Makes the call that the run needs. The run ends with the call's outcome.
+    void makeCall(SidecarKey, const FakeBackend&);
     void crash(size_t backend);
     void platformReply(size_t node, uint32_t generation, const CallPlatform&, Instant end);
     void answerWatches();
     void recordOutcome(size_t node, CallId, CallerOutcome, Reason, RequestId answerOf);
     void failForwardedCallsOf(size_t node);
 
+    NodeFleetOptions m_options;
     FakeFleet<Node> m_fleet;
     FakePlatform m_platform;
     std::vector<uint32_t> m_generations;
@@ -180,6 +215,8 @@
     // The requests that backend servers answered completely.
     std::map<SidecarKey, RequestId> m_runAnswers;
     std::map<SidecarKey, RequestId> m_keptAnswers;
+    std::map<RequestId, size_t> m_requestById;
+    std::vector<BackendArrival> m_arrivals;
     std::map<std::string, uint32_t> m_runsByKey;
     std::map<DecisionKind, size_t> m_decisions;
     std::set<size_t> m_left;
--- a/Tests/LibDecision/Support/FakePlatform.cpp
+++ b/Tests/LibDecision/Support/FakePlatform.cpp
@@ -26,7 +26,7 @@
     }
     for (const auto& name : ended)
         endLease(name);
-    bool isRead = std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchPrefix>(operation);
+    bool isRead = std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchRoutes>(operation) || std::holds_alternative<WatchPrefix>(operation);
     ++(isRead ? m_reads : m_writes);
     auto reply = std::visit([this](const auto& typed) { return perform(typed); }, operation);
     reply.index = m_state.lastVersion;
@@ -35,6 +35,8 @@
 
 bool FakePlatform::mustWait(const PlatformOperation& operation) const
 {
+    if (const auto* routes = std::get_if<WatchRoutes>(&operation))
+        return routes->index != 0 && routes->index >= m_state.routesVersion && routes->index <= m_state.lastVersion;
     const auto* watch = std::get_if<WatchPrefix>(&operation);
     return watch && watch->index != 0 && watch->index >= lastChangeOf(watch->prefix) && watch->index <= m_state.lastVersion;
 }
@@ -62,6 +64,20 @@
     return reply;
 }
 
+PlatformReply FakePlatform::perform(const WatchRoutes& watch)
+{
+    auto reply = replyOf(true);
+    if (watch.index == 0 || watch.index < m_state.routesVersion)
+        reply.routes = m_state.routes;
+    return reply;
+}
+
+void FakePlatform::publishRoutes(std::shared_ptr<const RouteTable> routes)
+{
+    m_state.routes = std::move(routes);
+    m_state.routesVersion = ++m_state.lastVersion;
+}
+
 PlatformReply FakePlatform::perform(const CompareAndSwap& swap)
 {
     auto key = m_state.keys.find(swap.key);
--- a/Tests/LibDecision/Support/FakePlatform.h
+++ b/Tests/LibDecision/Support/FakePlatform.h
@@ -3,6 +3,7 @@
 #include <LibDecision/PlatformOperation.h>
 
 #include <map>
+#include <memory>
 #include <string>
 
 namespace Testing {
@@ -18,6 +19,9 @@
     // True if the operation is a watch and nothing has changed below its prefix since its index.
     bool mustWait(const PlatformOperation&) const;
 
+    // Puts the table in place of the one before.
+    void publishRoutes(std::shared_ptr<const RouteTable>);
+
     void takeSnapshot() { m_snapshot = m_state; }
     // Restores the snapshot. Its leases start over with their whole time to live.
     void restoreSnapshot(Instant now);
@@ -34,11 +38,12 @@
         std::map<std::string, KeyValue> keys;
         std::map<PlatformLease, Lease> leases;
         uint64_t lastVersion { 0 };
+        std::shared_ptr<const RouteTable> routes;
+        uint64_t routesVersion { 0 };
     };
 
     PlatformReply perform(const ReadPrefix&);
-    // Route tables are not supported: returns no table.
-    PlatformReply perform(const WatchRoutes& watch) { return { .status = PlatformStatus::Done, .index = watch.index + 1 }; }
+    PlatformReply perform(const WatchRoutes&);
     PlatformReply perform(const WatchPrefix& watch) { return perform(ReadPrefix { watch.prefix }); }
     PlatformReply perform(const CompareAndSwap&);
     PlatformReply perform(const GrantLease&);
