LibDecision: End a backend server when another one is announced at its endpoint

What callers saw: the same 421 answers (BUDGET), for up to 9 s after a backend server had started anew under a new id. Until its announcements lapsed, the predecessor stayed in use: every request for it went to the successor, which refuses it.

Change: a backend server with a higher incarnation at the same endpoint has replaced the one before, which is gone at once. A late announcement of a predecessor is ignored.

Evidence: LocalBackends.ABackendServerReplacedAtItsEndpointIsGoneAtOnce fails before, passes after. The fakes gave all backend servers one endpoint, which no two can share; each has its own now. No check changed.

--- a/Libraries/LibDecision/Registry/LocalBackends.cpp
+++ b/Libraries/LibDecision/Registry/LocalBackends.cpp
@@ -75,6 +75,9 @@
 
 void LocalBackends::announce(Turn& turn, const BackendAnnouncement& announcement)
 {
+    if (hasSuccessor(announcement))
+        return;
+    endPredecessors(turn, announcement);
     auto entry = m_backends.find(announcement.id);
     if (entry == m_backends.end()) {
         if (m_isLeaving || announcement.phase == BackendPhase::Gone)
@@ -100,6 +103,28 @@
     scheduleTimer(backend, turn.now());
 }
 
+bool LocalBackends::hasSuccessor(const BackendAnnouncement& announcement) const
+{
+    return std::ranges::any_of(m_backends, [&](const auto& entry) {
+        const auto& known = entry.second;
+        return entry.first != announcement.id && known.phase != BackendPhase::Gone && known.announcement.endpoint == announcement.endpoint
+            && known.announcement.incarnation > announcement.incarnation;
+    });
+}
+
+void LocalBackends::endPredecessors(Turn& turn, const BackendAnnouncement& announcement)
+{
+    for (auto& [id, known] : m_backends) {
+        bool isPredecessor = id != announcement.id && known.phase != BackendPhase::Gone && known.announcement.endpoint == announcement.endpoint
+            && known.announcement.incarnation < announcement.incarnation;
+        if (!isPredecessor)
+            continue;
+        known.isLeaving = true;
+        transition(turn, known, BackendLifecycleEvent::Withdrawn, "backend server " + announcement.id.value() + " was announced at its endpoint");
+        scheduleTimer(known, turn.now());
+    }
+}
+
 bool LocalBackends::drain(Turn& turn, const BackendId& id)
 {
     auto entry = m_backends.find(id);
--- a/Libraries/LibDecision/Registry/LocalBackends.h
+++ b/Libraries/LibDecision/Registry/LocalBackends.h
@@ -45,7 +45,8 @@
     std::optional<Instant> nextTimer() const { return m_timers.next(); }
     void handleTimer(Turn&);
 
-    // Takes a first announcement or a renewal. One with a lower incarnation than the known one is ignored.
+    // Takes a first announcement or a renewal. One with a lower incarnation than the known one is ignored. A backend server
+    // that is announced at the endpoint of another one with a lower incarnation has replaced that one.
     void announce(Turn&, const BackendAnnouncement&);
     // Starts to drain one backend server. Returns false if it is unknown or gone.
     bool drain(Turn&, const BackendId&);
@@ -66,6 +67,10 @@
     std::vector<BackendId> takeChanged();
 
 private:
+    // Returns true if a backend server with a higher incarnation is known at the endpoint, so that the announcement is late.
+    bool hasSuccessor(const BackendAnnouncement&) const;
+    // Ends the backend servers that this one has replaced at its endpoint.
+    void endPredecessors(Turn&, const BackendAnnouncement&);
     void extendAnnouncement(LocalBackend&, Instant now);
     void expireOverdue(Turn&, LocalBackend&);
     void restart(Turn&, LocalBackend&, const BackendAnnouncement&);
--- a/Tests/LibDecision/Admission/AdmissionRig.h
+++ b/Tests/LibDecision/Admission/AdmissionRig.h
@@ -76,7 +76,7 @@
         announcement.id = BackendId(name);
         announcement.service = ServiceName("desk");
         announcement.profile = profileName;
-        announcement.endpoint = { "127.0.0.1", 9000 };
+        announcement.endpoint = { "127.0.0.1", static_cast<uint16_t>(9000 + std::hash<std::string> {}(name) % 1000) };
         announcement.incarnation = Incarnation(incarnation);
         announcement.slots = slots;
         announcement.phase = phase;
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -13,6 +13,8 @@
     constexpr Duration restartDelay = 2s;
     constexpr Duration leaveTimeout = 20s;
 
+    size_t indexOf(const BackendId& id) { return std::stoul(id.value().substr(std::string("backend-").size())); }
+
     const std::vector<std::string> zones { "agadir", "taroudant", "tiznit" };
 
 }
@@ -74,7 +76,7 @@
     announcement.id = backend.id;
     announcement.service = backend.service;
     announcement.profile = ProfileName("test");
-    announcement.endpoint = { "127.0.0.1", 9000 };
+    announcement.endpoint = { "127.0.0.1", static_cast<uint16_t>(9000 + indexOf(backend.id)) };
     announcement.incarnation = backend.incarnation;
     announcement.slots = backend.slots;
     announcement.phase = backend.isDraining ? BackendPhase::Draining : BackendPhase::Serving;
@@ -346,7 +348,7 @@
 
 void NodeFleet::carryOut(size_t node, const RunCall& effect)
 {
-    auto index = std::stoul(effect.backend.value().substr(8));
+    auto index = indexOf(effect.backend);
     auto& backend = m_backends[index];
     SidecarKey key { node, effect.call.value() };
     auto forwarded = m_forwardedCalls.find(key);
@@ -465,7 +467,7 @@
 
 void NodeFleet::carryOut(size_t node, const ProbeBackend& effect)
 {
-    auto index = std::stoul(effect.backend.value().substr(8));
+    auto index = indexOf(effect.backend);
     const auto& backend = m_backends[index];
     RunReport report;
     report.status = 200;
--- a/Tests/LibDecision/Registry/TestLocalBackends.cpp
+++ b/Tests/LibDecision/Registry/TestLocalBackends.cpp
@@ -240,3 +240,33 @@
     RC_ASSERT(std::ranges::is_sorted(fixture.records, std::ranges::less_equal {}, &BackendRecord::version) || fixture.records.size() < 2);
     RC_ASSERT(fixture.areAllImmediate);
 }
+
+TEST(LocalBackends, ABackendServerReplacedAtItsEndpointIsGoneAtOnce)
+{
+    LocalBackendsFixture fixture;
+    fixture.announce(announcementOf(5));
+    auto successor = announcementOf(6);
+    successor.id = BackendId("b");
+    fixture.announce(successor);
+    EXPECT_EQ(fixture.backends.find(BackendId("a"))->phase, BackendPhase::Gone);
+    EXPECT_EQ(fixture.backends.find(BackendId("b"))->phase, BackendPhase::Serving);
+    // What the predecessor sent before its end may arrive late, under its own id or for the first time here.
+    fixture.announce(announcementOf(5));
+    auto unknownPredecessor = announcementOf(4);
+    unknownPredecessor.id = BackendId("c");
+    fixture.announce(unknownPredecessor);
+    EXPECT_EQ(fixture.backends.find(BackendId("a"))->phase, BackendPhase::Gone);
+    EXPECT_EQ(fixture.backends.find(BackendId("c")), nullptr);
+}
+
+TEST(LocalBackends, BackendServersAtDifferentEndpointsServeSideBySide)
+{
+    LocalBackendsFixture fixture;
+    fixture.announce(announcementOf(5));
+    auto neighbour = announcementOf(6);
+    neighbour.id = BackendId("b");
+    neighbour.endpoint.port += 1;
+    fixture.announce(neighbour);
+    EXPECT_EQ(fixture.backends.find(BackendId("a"))->phase, BackendPhase::Serving);
+    EXPECT_EQ(fixture.backends.find(BackendId("b"))->phase, BackendPhase::Serving);
+}
