LibDecision: Bound the calls of repeated runs and replacements within the fleet's limit on retries

What callers saw: repeated arrivals at a called service beyond the bound (BUDGET). totem-archive is the service that runs of commission-desk call, and its own bound is the smaller one.

Cause: calls of repeated runs and replacements of slow attempts were deducted from a sidecar's share but never refused, so nothing bounded them at the called service; a share could only go further below zero. Class: a limit that part of what it counts ignores.

Change: each share keeps a reserve (0.15 of the extra) for arrivals whose refusal wastes a run. What may be saved up, the reserve, what flows and what first arrivals bring stay below the bound together in any window. Retries and these arrivals are deducted at admission.

The test that such calls are never refused asserted the fault; it is replaced by one that asserts how many are admitted after retries are refused, and no more.

--- a/Libraries/LibDecision/Admission/FleetRetryShare.h
+++ b/Libraries/LibDecision/Admission/FleetRetryShare.h
@@ -10,16 +10,18 @@
 // One sidecar's share of the fleet-wide limit on retries that arrive at a service's backend servers. A retry is any
 // arrival of a request beyond its first.
 //
-// Each sidecar of the service has an equal share. In any window, the bursts, refills and deposits of all shares
-// together stay below the limit. Sidecars hold the shares rather than ingresses because a retry can try several
+// Each sidecar of the service has an equal share. In any window, the bursts, reserves, refills and deposits of all
+// shares together stay below the limit. Sidecars hold the shares rather than ingresses because a retry can try several
 // sidecars until one has retries left, so that no share stays unused while an ingress runs out.
 class FleetRetryShare {
 public:
-    // Fractions of RetryPolicy::fleetExtra that may accumulate and that are refilled per window. Their sum is below 1.
+    // Fractions of RetryPolicy::fleetExtra that may accumulate, that are refilled per window, and that are reserved for
+    // arrivals whose refusal would waste a run that is in progress. Their sum is below 1.
     static constexpr double burstFraction = 0.45;
     static constexpr double refillFraction = 0.35;
-    // Fraction of RetryPolicy::budget that a first arrival deposits. The rest is reserved for calls that retried runs
-    // make before the runs are known to be retries, and for processes whose views of the fleet differ.
+    static constexpr double reserveFraction = 0.15;
+    // Fraction of RetryPolicy::budget that a first arrival deposits. The rest is for processes whose views of the fleet
+    // differ.
     static constexpr double depositFraction = 0.85;
 
     // The share fills from the start of its process.
@@ -31,7 +33,9 @@
     // In all functions, sidecars is the number of the service's backend servers, which have one sidecar each.
     void countFirstArrival(const RetryPolicy&, size_t sidecars, Instant now);
     bool hasRetryLeft(const RetryPolicy&, size_t sidecars, Instant now);
-    // Deducts a retry even if none is left. The share may become negative and is then refilled from there.
+    // Returns true if the reserve allows one more arrival, although no retry may be left.
+    bool hasReserveLeft(const RetryPolicy&, size_t sidecars, Instant now);
+    // Deducts a retry, which a function above must have allowed.
     void spend(const RetryPolicy&, size_t sidecars, Instant now);
     // Returns a deducted retry that didn't reach the backend server.
     void refund() { m_tokens.deposit(1); }
@@ -39,7 +43,8 @@
     double left() const { return m_tokens.tokens(); }
 
 private:
-    void refill(const RetryPolicy&, size_t sidecars, Instant now);
+    // Refills the share and returns the sidecar's equal part of RetryPolicy::fleetExtra.
+    double refill(const RetryPolicy&, size_t sidecars, Instant now);
 
     TokenBucket m_tokens { 0 };
 };
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -340,17 +340,19 @@
 bool SidecarAdmission<Gate, Observer>::exceedsRetryShare(const SidecarCallArrived& arrival, Instant now)
 {
     const auto& policy = profileOf(arrival.backend).retries;
-    if (arrival.arrival != ArrivalKind::Retry || policy.fleetExtra == 0)
+    if (arrival.arrival == ArrivalKind::First || policy.fleetExtra == 0)
         return false;
     const auto& service = m_backends.find(arrival.backend)->announcement.service;
-    return !retryShareOf(service).hasRetryLeft(policy, m_serviceSize(service), now);
+    auto& share = retryShareOf(service);
+    auto size = m_serviceSize(service);
+    return !(arrival.arrival == ArrivalKind::Retry ? share.hasRetryLeft(policy, size, now) : share.hasReserveLeft(policy, size, now));
 }
 
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::reserveRetry(AdmittedCall& admitted, Instant now)
 {
     const auto& policy = profileOf(admitted.backend).retries;
-    admitted.hasReservedRetry = policy.fleetExtra > 0 && admitted.arrival == ArrivalKind::Retry;
+    admitted.hasReservedRetry = policy.fleetExtra > 0 && admitted.arrival != ArrivalKind::First;
     const auto& service = admitted.request.service;
     if (admitted.hasReservedRetry)
         retryShareOf(service).spend(policy, m_serviceSize(service), now);
@@ -373,10 +375,8 @@
         return;
     const auto& service = admitted.request.service;
     auto& share = retryShareOf(service);
-    if (admitted.arrival == ArrivalKind::CountedAsRetry)
-        share.spend(policy, m_serviceSize(service), turn.now());
     // Calls that running requests make aren't callers' requests, so their first arrivals deposit nothing.
-    else if (admitted.arrival == ArrivalKind::First && !admitted.request.parent)
+    if (admitted.arrival == ArrivalKind::First && !admitted.request.parent)
         share.countFirstArrival(policy, m_serviceSize(service), turn.now());
     if (admitted.arrival != ArrivalKind::First)
         explain(turn, DecisionKind::RequestCountedAsRetry, admitted.backend, admitted.request, "run", std::string(nameOf(admitted.arrival)) + "; " + std::to_string(share.left()) + " retries are left of a share among " + std::to_string(m_serviceSize(service)) + " backend servers");
--- a/Libraries/LibDecision/Attempt.h
+++ b/Libraries/LibDecision/Attempt.h
@@ -42,8 +42,8 @@
     // The request may have arrived at a backend server before. It is refused if the sidecar has used up its share of
     // the retry budget.
     Retry,
-    // Counts as a retry but is never refused for it: a call made by a retried run, or a request that replaces an
-    // earlier, abandoned send.
+    // Counts as a retry, and its refusal would waste a run: a call made by a retried run, or a request that replaces an
+    // earlier, abandoned send. It may use the part of the share that is reserved for such arrivals.
     CountedAsRetry,
 };
 
--- a/Libraries/LibDecision/Calls/RetryBudget.h
+++ b/Libraries/LibDecision/Calls/RetryBudget.h
@@ -20,8 +20,8 @@
 // a drain or a full queue doesn't use up the tokens that are needed after failures.
 //
 // If the profile limits the retries of the whole fleet, the sidecars count reruns instead; see FleetRetryShare. Only
-// replacements are then limited here, by a small bucket, because a sidecar can't refuse them once the previous attempt
-// is cancelled.
+// replacements are then limited here as well, by a small bucket, because the work of the previous attempt is lost if
+// sidecars refuse them once it is cancelled.
 class RetryBudget {
 public:
     // Reroute tokens per first attempt.
--- a/Tests/LibDecision/Admission/TestFleetRetryShare.cpp
+++ b/Tests/LibDecision/Admission/TestFleetRetryShare.cpp
@@ -149,19 +149,32 @@
     EXPECT_EQ(retriesUntilRefusal(rig, 2000), 0u);
 }
 
-TEST(FleetRetryShare, CallsOfARetriedRunAreCountedButNotRefused)
+TEST(FleetRetryShare, CallsOfARetriedRunAreAdmittedAfterRetriesAreRefusedButWithinTheLimit)
 {
-    AdmissionRig rig(fleetProfile(30));
+    constexpr double extra = 100;
+    AdmissionRig rig(fleetProfile(extra));
     rig.announce("b", 1, 3);
     rig.now += 30s;
-    for (uint64_t call = 1; call <= 40; ++call) {
+    auto retries = retriesUntilRefusal(rig, 1000);
+    EXPECT_EQ(retries, FleetRetryShare::burstFraction * extra);
+    uint32_t calls = 0;
+    for (uint64_t call = 1; call <= extra; ++call) {
         auto arrival = AdmissionRig::arrivalOf(call, "b");
         arrival.request.parent = RequestId("parent");
         arrival.arrival = ArrivalKind::CountedAsRetry;
-        EXPECT_EQ(effectsOf<RunCall>(rig.arrive(arrival)).size(), 1u);
+        auto effects = rig.arrive(arrival);
+        auto refusals = effectsOf<RefuseSidecarCall>(effects);
+        if (!refusals.empty()) {
+            EXPECT_EQ(refusals.front().outcome, Outcome::NotRun);
+            EXPECT_EQ(refusals.front().reason, Reason::RetryBudgetExhausted);
+            continue;
+        }
+        EXPECT_EQ(effectsOf<RunCall>(effects).size(), 1u);
+        ++calls;
         rig.finish(call, goodRun());
     }
-    EXPECT_EQ(retriesUntilRefusal(rig, 100), 0u);
+    EXPECT_EQ(calls, FleetRetryShare::reserveFraction * extra);
+    EXPECT_EQ(retriesUntilRefusal(rig, 2000), 0u);
 }
 
 TEST(FleetRetryShare, ReportsWhichRunsAreRetries)
