LibDecision: Start a share of the fleet's retries empty, and divide by the most sidecars of a window

What callers saw: repeated arrivals beyond the bound (BUDGET) is possible if processes start again in series.

Cause: a process started without the debt of its predecessor and computed its share from the few sidecars that it knew. One that knows only itself fills as fast as the whole fleet may. When sidecars leave, those left divided by the smaller number at once, although the window still holds what the others used. Class: a limit of the fleet computed from one process's view.

Change: a share fills 3 s after the start of its process and starts with its reserve used up; before, only first arrivals add to it. The largest number of sidecars of the last window divides the extra.

--- a/Libraries/LibDecision/Admission/FleetRetryShare.h
+++ b/Libraries/LibDecision/Admission/FleetRetryShare.h
@@ -24,13 +24,15 @@
     // differ.
     static constexpr double depositFraction = 0.85;
 
-    // The share fills from the start of its process.
-    explicit FleetRetryShare(Instant startedAt)
-    {
-        m_tokens.startAt(startedAt);
-    }
+    // Time after the start of its process until the share fills. Before, the process may not know the other sidecars, and
+    // only first arrivals add to the share.
+    static constexpr Duration settlingTime = 3s;
 
-    // In all functions, sidecars is the number of the service's backend servers, which have one sidecar each.
+    // The share of a process starts with its reserve used up, because its predecessor may have used it.
+    explicit FleetRetryShare(Instant startedAt);
+
+    // In all functions, sidecars is the number of the service's backend servers, which have one sidecar each. The largest
+    // number of the last window counts, since those that left may have used their shares.
     void countFirstArrival(const RetryPolicy&, size_t sidecars, Instant now);
     bool hasRetryLeft(const RetryPolicy&, size_t sidecars, Instant now);
     // Returns true if the reserve allows one more arrival, although no retry may be left.
@@ -45,8 +47,15 @@
 private:
     // Refills the share and returns the sidecar's equal part of RetryPolicy::fleetExtra.
     double refill(const RetryPolicy&, size_t sidecars, Instant now);
+    size_t largestInWindow(const RetryPolicy&, size_t sidecars, Instant now);
 
     TokenBucket m_tokens { 0 };
+    Instant m_settlesAt;
+    bool m_isSettled { false };
+    // Largest numbers of sidecars since this instant, and in the window before it.
+    Instant m_countedSince;
+    size_t m_largest { 0 };
+    size_t m_largestBefore { 0 };
 };
 
 }
--- a/Libraries/LibDecision/Calls/TokenBucket.cpp
+++ b/Libraries/LibDecision/Calls/TokenBucket.cpp
@@ -28,6 +28,8 @@
 
 void TokenBucket::refill(double tokensPerSecond, Instant now)
 {
+    if (m_hasBeenRefilled && now < m_refilledAt)
+        return;
     Duration elapsed = m_hasBeenRefilled ? now - m_refilledAt : std::chrono::seconds(1);
     deposit(tokensPerSecond * std::chrono::duration<double>(elapsed).count());
     m_hasBeenRefilled = true;
--- a/Libraries/LibDecision/Calls/TokenBucket.h
+++ b/Libraries/LibDecision/Calls/TokenBucket.h
@@ -11,7 +11,7 @@
 public:
     explicit TokenBucket(double limit);
 
-    // The next refill counts from this instant.
+    // The next refill counts from this instant, which may be in the future.
     void startAt(Instant);
     // Discards the tokens above the new limit.
     void setLimit(double limit);
@@ -21,7 +21,7 @@
     // Returns true if at least one whole token is available.
     bool hasToken() const { return m_tokens >= 1; }
     double tokens() const { return m_tokens; }
-    void take() { m_tokens -= 1; }
+    void take(double tokens = 1) { m_tokens -= tokens; }
 
 private:
     double m_limit;
--- a/Tests/LibDecision/Admission/TestFleetRetryShare.cpp
+++ b/Tests/LibDecision/Admission/TestFleetRetryShare.cpp
@@ -82,6 +82,43 @@
     }
 }
 
+// Processes start without knowing the others, are killed after they have used up their shares, and leave.
+RC_GTEST_PROP(FleetRetryShareProperties, SidecarsThatStartAndLeaveStayWithinTheLimitTogether, ())
+{
+    constexpr double extra = 60;
+    constexpr auto step = 50ms;
+    auto policy = fleetPolicy(extra);
+    auto sidecars = *rc::gen::inRange<size_t>(4, 20);
+    auto killInterval = *rc::gen::inRange(20, 300);
+    auto joinTime = std::chrono::milliseconds(*rc::gen::inRange(0, 2500));
+    auto leaving = *rc::gen::inRange<size_t>(0, sidecars / 2 + 1);
+    Instant start { 1h };
+    struct Process {
+        FleetRetryShare share;
+        Instant startedAt;
+    };
+    std::vector<Process> processes(sidecars, Process { FleetRetryShare(start - 1min), start - 1min });
+    std::vector<Instant> arrivals;
+    for (int count = 0; count < 600; ++count) {
+        auto now = start + count * step;
+        if (count == 100)
+            processes.erase(processes.end() - static_cast<std::ptrdiff_t>(leaving), processes.end());
+        for (auto& process : processes) {
+            if (count % killInterval == killInterval - 1)
+                process = { FleetRetryShare(now), now };
+            size_t known = now - process.startedAt < joinTime ? 1 : processes.size();
+            while (process.share.hasRetryLeft(policy, known, now) || process.share.hasReserveLeft(policy, known, now)) {
+                process.share.spend(policy, known, now);
+                arrivals.push_back(now);
+            }
+        }
+    }
+    for (auto from = start; from < start + 20s; from += 200ms) {
+        auto inWindow = std::ranges::count_if(arrivals, [&](Instant at) { return at >= from && at < from + policy.window; });
+        RC_ASSERT(static_cast<double>(inWindow) <= extra);
+    }
+}
+
 TEST(FleetRetryShare, NegativeShareIsRefilledBeforeRetriesAreAllowed)
 {
     auto policy = fleetPolicy(100);
