LibDecision: Count calls of runs that aren't known as repeated

What callers saw: repeated arrivals at a called service beyond the bound (BUDGET) is possible without any being counted.

Cause: a call counted as a retry only while its run was known here as one. A run that its ingress had given up, or that a killed sidecar left behind at its backend server, is unknown, and its calls counted as first arrivals.

Change: only calls of a run that is known as its request's first arrival count as first. The part of an id before its last separator names the run, so that calls of calls find theirs.

Evidence: CallsOfRunsThatAreNotKnownCountAsRepeated fails before, passes after.

--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -96,8 +96,9 @@
 
     // Handles the failure of a call that a run of this request made.
     void nestedCallFailed(const RequestId&);
-    // Returns true if a request with this id is running here and counts as a retry.
-    bool isRunningRetry(const RequestId&) const;
+    // Returns true if a request with this id is running here since its first arrival. Runs that were cancelled, or that a
+    // predecessor of this process started, may go on at their backend servers unknown to this process.
+    bool isRunningFirstArrival(const RequestId&) const;
     // The priority of a request that is running here.
     std::optional<uint32_t> priorityOfRunning(const RequestId&) const;
     LoadReport load(const BackendId&, Instant now) const;
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -392,11 +392,11 @@
 }
 
 template <ClaimGate Gate, RunObserver Observer>
-bool SidecarAdmission<Gate, Observer>::isRunningRetry(const RequestId& request) const
+bool SidecarAdmission<Gate, Observer>::isRunningFirstArrival(const RequestId& request) const
 {
     return std::ranges::any_of(m_calls, [&](const auto& entry) {
         const auto& admitted = entry.second;
-        return admitted.request.id == request && admitted.stage == AdmissionStage::Running && admitted.arrival != ArrivalKind::First;
+        return admitted.request.id == request && admitted.stage == AdmissionStage::Running && admitted.arrival == ArrivalKind::First;
     });
 }
 
--- a/Libraries/LibDecision/CallTerms.h
+++ b/Libraries/LibDecision/CallTerms.h
@@ -24,7 +24,7 @@
     uint32_t priority { 0 };
     // Number of backend servers that the request may be sent to.
     uint32_t maximumAttempts { 1 };
-    // True for a call made by a retried run: its first arrival counts as a retry.
+    // True for a call made by a run that isn't known to be a request's first: its own first arrival counts as a retry.
     bool isCountedAsRetry { false };
 
     bool operator==(const CallTerms&) const = default;
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -155,7 +155,7 @@
     arrived.request.service = route->targets[target].service;
     arrived.terms = CallTerms { route->name, route->isIdempotent, route->timeout, route->latencyObjective, route->priority, route->maximumAttempts };
     arrived.terms->priority = priorityOf(*route, arrived.request);
-    arrived.terms->isCountedAsRetry = arrived.request.parent && m_admission.isRunningRetry(*arrived.request.parent);
+    arrived.terms->isCountedAsRetry = arrived.request.parent && !m_admission.isRunningFirstArrival(*arrived.request.parent);
     return std::nullopt;
 }
 
--- a/Services/fulmard/RequestReader.cpp
+++ b/Services/fulmard/RequestReader.cpp
@@ -102,7 +102,7 @@
 
 std::optional<RequestId> RequestReader::parentOf(const RequestId& id) const
 {
-    auto end = m_edge.parentSeparator.empty() ? std::string::npos : id.value().find(m_edge.parentSeparator);
+    auto end = m_edge.parentSeparator.empty() ? std::string::npos : id.value().rfind(m_edge.parentSeparator);
     return end == std::string::npos ? std::nullopt : std::optional(RequestId(id.value().substr(0, end)));
 }
 
--- a/Tests/LibDecision/Admission/TestFleetRetryShare.cpp
+++ b/Tests/LibDecision/Admission/TestFleetRetryShare.cpp
@@ -214,17 +214,18 @@
     EXPECT_EQ(retriesUntilRefusal(rig, 2000), 0u);
 }
 
-TEST(FleetRetryShare, ReportsWhichRunsAreRetries)
+TEST(FleetRetryShare, ReportsWhichRunsAreFirstArrivals)
 {
     AdmissionRig rig(fleetProfile(60));
     rig.announce("b", 1, 3);
     rig.now += 30s;
     rig.arrive(AdmissionRig::arrivalOf(1, "b"));
     rig.arrive(retryOf(2));
-    EXPECT_FALSE(rig.admission.isRunningRetry(RequestId("request-1")));
-    EXPECT_TRUE(rig.admission.isRunningRetry(RequestId("request-2")));
-    rig.finish(2, goodRun());
-    EXPECT_FALSE(rig.admission.isRunningRetry(RequestId("request-2")));
+    rig.arrive(AdmissionRig::arrivalOf(3, "b"));
+    EXPECT_TRUE(rig.admission.isRunningFirstArrival(RequestId("request-1")));
+    EXPECT_FALSE(rig.admission.isRunningFirstArrival(RequestId("request-2")));
+    rig.finish(1, goodRun());
+    EXPECT_FALSE(rig.admission.isRunningFirstArrival(RequestId("request-1")));
 }
 
 TEST(FleetRetryShare, QueuedRetriesDoNotExceedTheShareTogether)
--- a/Tests/LibDecision/Node/RetryLoad.h
+++ b/Tests/LibDecision/Node/RetryLoad.h
@@ -42,6 +42,8 @@
     static constexpr double extra = 20;
     static constexpr Duration window = 10s;
 
+    static NodeFleetOptions fleetOptions();
+
     RetryLoad(uint64_t seed, std::vector<RetryFault>);
 
     void run();
@@ -49,7 +51,6 @@
     double largestExcess() const;
 
 private:
-    static NodeFleetOptions fleetOptions();
     void startFault(const RetryFault&);
     void sendNext(size_t service);
     BackendFaults& faultsOf(size_t backend) { return m_fleet.backends()[backend].simulatedFaults; }
--- a/Tests/LibDecision/Node/TestRetryLoad.cpp
+++ b/Tests/LibDecision/Node/TestRetryLoad.cpp
@@ -1,5 +1,7 @@
 #include "RetryLoad.h"
 
+#include <LibDecision/NodeState.h>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -53,6 +55,22 @@
     }
 }
 
+// Such a run may be a repeated one: its ingress gave it up, or its sidecar was restarted beside it.
+TEST(RetryLoad, CallsOfRunsThatAreNotKnownCountAsRepeated)
+{
+    NodeFleet fleet(1, 2, RetryLoad::fleetOptions());
+    fleet.addBackend("archive", 0);
+    fleet.runFor(20s);
+    auto call = fleet.makeRequest("archive", Method::Get);
+    call.id = RequestId("lost-run.1");
+    call.parent = RequestId("lost-run");
+    call.remaining = 500ms;
+    fleet.send(1, call);
+    fleet.runFor(1s);
+    EXPECT_EQ(fleet.state(0).admission().arrivals().countedAsRetry, 1u);
+    EXPECT_EQ(fleet.state(0).admission().arrivals().first, 0u);
+}
+
 TEST(RetryLoad, RestartedProcessesDoNotAddToTheLimit)
 {
     for (uint64_t seed = 1; seed <= 5; ++seed) {
