fulmard: Believe a refusal only if it belongs to the request

What callers saw elsewhere: a faulty backend server wrote an earlier refusal once more on a kept connection; callers were told "not run" of requests that ran (REFUSED), or such a request ran at a second backend server (TWICE).

It could happen here: the id in an answer was compared for complete answers only, not for refusals (421, or marked as not run).

Change: an answer of any status that carries another request's id is malformed, so the outcome is unknown.

Evidence: ClientOutcome.ARefusalOfAnotherRequestSaysNothingOfThisOne fails with the comparison as it was and passes now.

--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -43,6 +43,7 @@
     {
         EdgeSettings settings;
         settings.requestId = reader.stringOr("request-id", settings.requestId);
+        settings.hasRequestIdInAnswers = reader.boolean("request-id-in-answers", settings.hasRequestIdInAnswers);
         settings.hasCallerRequestIds = reader.boolean("caller-request-ids", settings.hasCallerRequestIds);
         settings.parentSeparator = reader.stringOr("parent-separator", settings.parentSeparator);
         settings.deadline = reader.stringOr("deadline", settings.deadline);
--- a/Libraries/LibModel/Settings.h
+++ b/Libraries/LibModel/Settings.h
@@ -101,6 +101,8 @@
 struct EdgeSettings {
     // Carries the request's id from the caller to the backend server and back in its answer.
     std::string requestId { "fulmar-request-id" };
+    // Whether backend servers return the id in each answer.
+    bool hasRequestIdInAnswers { false };
     // Whether callers choose the id, which is then different for each request.
     bool hasCallerRequestIds { false };
     // Between the id of a running request and the rest of the id of a call that it makes; empty if ids don't tell.
--- a/Services/fulmard/ClientOutcome.cpp
+++ b/Services/fulmard/ClientOutcome.cpp
@@ -58,6 +58,15 @@
         return isGood && !edge.answerProof.empty() && !Transport::findHeader(response.headers, edge.answerProof);
     }
 
+    bool belongsToAnotherRequest(const Transport::ClientResult& result, const EdgeSettings& edge, const RequestId& request)
+    {
+        auto id = Transport::findHeader(result.response.headers, edge.requestId);
+        if (id)
+            return *id != request.value();
+        bool isRefusal = result.response.status == misdirectedRequest || saysNotRun(result.response, edge);
+        return isRefusal && edge.hasRequestIdInAnswers && !result.wasFreshConnection;
+    }
+
 }
 
 AttemptResult attemptResultOf(ClientStatus status)
@@ -65,7 +74,7 @@
     return translate(status).result;
 }
 
-Decision::RunReport runReportOf(const Transport::ClientResult& result, const EdgeSettings& edge)
+Decision::RunReport runReportOf(const Transport::ClientResult& result, const EdgeSettings& edge, const RequestId& request)
 {
     Decision::RunReport report;
     report.result = translate(result.status).result;
@@ -76,7 +85,10 @@
         return report;
 
     report.status = result.response.status;
-    if (report.status == misdirectedRequest) {
+    if (belongsToAnotherRequest(result, edge, request)) {
+        report.result = AttemptResult::Malformed;
+        report.reason = Reason::AnswerMalformed;
+    } else if (report.status == misdirectedRequest) {
         report.result = AttemptResult::RefusedNotRun;
         report.reason = Reason::BackendMisdirected;
     } else if (saysNotRun(result.response, edge)) {
--- a/Services/fulmard/ClientOutcome.h
+++ b/Services/fulmard/ClientOutcome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/Attempt.h>
+#include <LibModel/Identifiers.h>
 #include <LibModel/Settings.h>
 #include <LibTransport/HttpClient.h>
 
@@ -9,8 +10,9 @@
 // Gives the core's name for how an exchange with another party ended.
 Decision::AttemptResult attemptResultOf(Transport::ClientStatus);
 
-// Gives what the core learns from a backend server's answer. An answer with the edge's mark that the request wasn't run
-// is a refusal, and a good answer without the edge's proof is malformed.
-Decision::RunReport runReportOf(const Transport::ClientResult&, const Model::EdgeSettings&);
+// Gives what the core learns from a backend server's answer to the request. An answer with the edge's mark that the
+// request wasn't run is a refusal, and a good answer without the edge's proof is malformed. So is whatever carries another
+// request's id, and a refusal without any on a reused connection, where backend servers return ids: it may be an earlier one.
+Decision::RunReport runReportOf(const Transport::ClientResult&, const Model::EdgeSettings&, const Model::RequestId&);
 
 }
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -31,8 +31,8 @@
     // The answer to a health check proves nothing beyond its status, so it is read without the edge's headers.
     Decision::RunReport probeReportOf(const Transport::ClientResult& result)
     {
-        static const EdgeSettings plainEdge;
-        return runReportOf(result, plainEdge);
+        static const EdgeSettings plainEdge { .requestId = "" };
+        return runReportOf(result, plainEdge, RequestId());
     }
 
 }
--- a/Services/fulmard/SidecarCalls.cpp
+++ b/Services/fulmard/SidecarCalls.cpp
@@ -115,13 +115,7 @@
 {
     auto& call = m_calls.at(id);
     call.run = 0;
-    auto report = runReportOf(result, m_edge);
-    // A backend server may say which request its answer belongs to; one that says another's mixed answers up.
-    auto answeredId = Transport::findHeader(result.response.headers, m_edge.requestId);
-    if (report.result == Decision::AttemptResult::Answered && answeredId && *answeredId != call.requestId.value()) {
-        report.result = Decision::AttemptResult::Malformed;
-        report.reason = Reason::AnswerMalformed;
-    }
+    auto report = runReportOf(result, m_edge, call.requestId);
     call.runSpan->SetTag("result", std::string(nameOf(report.result)));
     call.runSpan->Finish();
     m_observability.metrics().observe(Telemetry::Timing::Run, report.elapsed);
