LibDecision: Pass on no request that the planned stop would cut

What callers saw elsewhere: in a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at its end (LOST).

Only repeated attempts were held back if they wouldn't end in time.

Change: a first attempt isn't begun either if requests of its route usually take longer than the time left; it is refused as not run.

Evidence: FirstAttempts.AreNotBegunIfThePlannedStopWouldCutThem fails before, passes after.

--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -125,7 +125,11 @@
     // How much longer the request may wait for a slot to be answered in time; zero if it will be late.
     Duration remainingWait(const CallRecord&, Instant now) const;
     void routeAgain(Turn&, CallId, CallRecord&);
+    // Chooses a backend server. Returns nullopt and the reason if there is none, or if the process would probably end
+    // before the answer.
     std::optional<RouteChoice> choose(Turn&, const CallRecord&, Reason&);
+    // Returns true if an attempt that begins now would probably be broken off because the process ends.
+    bool endsBeforeAnswer(const CallRecord&, Instant now);
     void send(Turn&, CallId, CallRecord&, const RouteChoice&);
     void forward(Turn&, CallId, CallRecord&, ForwardCall);
     void redirect(Turn&, CallId, CallRecord&, const InstanceId& keeper);
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -172,6 +172,8 @@
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 bool CallTable<Routing, Observer, Directory>::scheduleRouting(Turn& turn, CallId id, CallRecord& call)
 {
+    if (endsBeforeAnswer(call, turn.now()))
+        return false;
     auto until = std::min(call.deadline, call.arrivedAt + profileOf(call.request.service).capacity.callerWait);
     // Under overload, a request that can't be answered in time any more is refused, so that its caller can come back. One
     // that waits for any backend server to appear, as after a restart, takes nobody's place.
@@ -207,6 +209,10 @@
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 std::optional<RouteChoice> CallTable<Routing, Observer, Directory>::choose(Turn& turn, const CallRecord& call, Reason& reason)
 {
+    if (endsBeforeAnswer(call, turn.now())) {
+        reason = Reason::ProcessLeaving;
+        return std::nullopt;
+    }
     RouteRequest request;
     request.service = call.request.service;
     request.isIdempotent = call.terms.isIdempotent;
@@ -404,13 +410,19 @@
     return countsArrivals && isRefusalByBackend(report.reason) ? RetryKind::Rerun : RetryKind::Reroute;
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+bool CallTable<Routing, Observer, Directory>::endsBeforeAnswer(const CallRecord& call, Instant now)
+{
+    return m_endsAt && now + timeoutOf(call).usual() > *m_endsAt;
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 bool CallTable<Routing, Observer, Directory>::mayRetry(const CallRecord& call, Instant now)
 {
     const auto& profile = profileOf(call.request.service);
     if (call.attempts >= call.terms.maximumAttempts || now >= call.deadline)
         return false;
-    if (m_endsAt && now + timeoutOf(call).usual() > *m_endsAt)
+    if (endsBeforeAnswer(call, now))
         return false;
     return !m_crashGuard.isRefused(call.request.fingerprint, profile.crash, now);
 }
--- a/Tests/LibDecision/Calls/TestCallTable.cpp
+++ b/Tests/LibDecision/Calls/TestCallTable.cpp
@@ -246,6 +246,32 @@
     }
 }
 
+// Taken late in the grace of a planned stop, a request would be passed on and then cut without an answer.
+TEST(FirstAttempts, AreNotBegunIfThePlannedStopWouldCutThem)
+{
+    for (auto timeLeft : { 2s, 4s }) {
+        for (auto isIdempotent : { false, true }) {
+            CallRig rig(fleetBoundProfile());
+            auto slowCall = CallRig::arrivalOf(1);
+            slowCall.request.remaining = 20s;
+            slowCall.request.method = isIdempotent ? Method::Get : Method::Post;
+            rig.arrive(slowCall);
+            rig.now += 3s;
+            rig.finish(1, 1, answered());
+            rig.calls.endAt(rig.now + timeLeft);
+            slowCall.call = CallId(2);
+            auto effects = rig.arrive(slowCall);
+            bool isBegun = !effectsOf<ForwardCall>(effects).empty();
+            EXPECT_EQ(isBegun, timeLeft == 4s);
+            auto refusals = effectsOf<RefuseCall>(effects);
+            ASSERT_EQ(refusals.empty(), isBegun);
+            if (!isBegun) {
+                EXPECT_EQ(refusals.front().outcome, Outcome::NotRun);
+            }
+        }
+    }
+}
+
 TEST(SlowAttempts, AreKeptIfEveryOtherBackendServerIsFull)
 {
     CallRig rig(fleetBoundProfile());
