fulmard: Let a repeated SIGTERM cut no requests

What callers saw: nothing yet. Planned stops that overlap signal a process twice, and the second SIGTERM ended it at once with requests in flight (the same class as LOST in a planned stop).

Change: SIGTERM may be repeated; only a second SIGINT, from a person, ends the process at once. The decision is a class of its own.

Evidence: StopSignals.ARepeatedTerminationSignalCutsNoRequests; before, the second signal of any kind stopped the loop.

--- a/Services/fulmard/main.cpp
+++ b/Services/fulmard/main.cpp
@@ -4,6 +4,7 @@
 #include <LibTelemetry/LineWriter.h>
 #include <Services/fulmard/BackendApi.h>
 #include <Services/fulmard/Daemon.h>
+#include <Services/fulmard/StopSignals.h>
 #include <platform/InstanceReport.h>
 #include <platform/NodeFile.h>
 #include <platform/RevisionStore.h>
@@ -94,17 +95,22 @@
     options.observability.traceSink = [&traces](const std::string& line) { traces.write(line); };
     Fulmard::Daemon daemon(loop, std::move(options));
 
-    bool isLeaving = false;
-    auto leave = [&] {
-        if (isLeaving) {
+    Fulmard::StopSignals stopSignals;
+    auto stop = [&](int signal) {
+        switch (stopSignals.receive(signal)) {
+        case Fulmard::StopAction::Leave:
+            daemon.leave();
+            return;
+        case Fulmard::StopAction::None:
+            return;
+        case Fulmard::StopAction::EndNow:
             daemon.logUnfinished();
             loop.stop();
+            return;
         }
-        isLeaving = true;
-        daemon.leave();
     };
-    loop.onSignal(SIGTERM, leave);
-    loop.onSignal(SIGINT, leave);
+    loop.onSignal(SIGTERM, [&] { stop(SIGTERM); });
+    loop.onSignal(SIGINT, [&] { stop(SIGINT); });
     loop.onSignal(SIGHUP, [&] { daemon.reload(readSettings); });
     daemon.start();
     loop.run();
