LibTransport: Test that an answer that ends in its head is never whole

It can't happen here: an answer is delivered once its head and stated length are complete, and one without a length is malformed. Tests cut answers with a length and in chunks after every byte; this one does so for an answer that ends with its connection.

--- a/Tests/LibTransport/TestHttpClient.cpp
+++ b/Tests/LibTransport/TestHttpClient.cpp
@@ -22,6 +22,8 @@
 }
 
 const std::string chunkedAnswer = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nthree\r\n9\r\n pick-ups\r\n0\r\n\r\n";
+// Ends with its connection.
+const std::string unframedAnswer = "HTTP/1.1 200 OK\r\nserver: b\r\n\r\nthree pick-ups";
 const std::string sizedAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nthree pick-ups";
 
 ClientResult resultFor(const std::string& answer, std::string method = "GET")
@@ -52,6 +54,13 @@
     }
 }
 
+// A backend server stopped in the middle of its answer's head and closed; no length was known.
+TEST_F(HttpClientFaults, AnAnswerThatEndsInItsHeadIsNeverWhole)
+{
+    for (size_t length = 0; length <= unframedAnswer.size(); ++length)
+        ASSERT_NE(resultFor(unframedAnswer.substr(0, length)).status, ClientStatus::Answered) << "cut after " << length << " bytes";
+}
+
 RC_GTEST_PROP(HttpClientProperties, NeverTakesACutAnswerForAWholeOne, ())
 {
     auto chunks = *rc::gen::container<std::vector<std::string>>(rc::gen::nonEmpty(rc::gen::container<std::string>(rc::gen::inRange('a', 'z'))));
