--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -40,8 +40,8 @@
     bool mayHaveRun { false };
     // True once any attempt may have reached a backend server, even if it was rejected there.
     bool mayHaveArrived { false };
-    // True while the next attempt replaces a cancelled one, until an attempt may have reached a backend server. Such an
-    // attempt must not be refused for being a retry, since the previous one is gone.
+    // True while the next attempt replaces a cancelled one, until an attempt may have reached a backend server. It
+    // may use the sidecars' reserve of retries, since the previous one is gone.
     bool replacesCancelledAttempt { false };
     // The last attempt that a backend server answered with a server error, and the status of that answer. The code that
     // executes effects keeps the answer until the request ends.
