fulmard, LibDecision: Read what a backend server says of its own state in an answer

An answer that belongs to its request now brings a notice with the limit on requests a second and whether the backend server leaves; the sidecar logs each change as backend-limit-changed and counts it. Nothing is decided by it yet.

Numbers that aren't decimal, negative ones and those too large neither name nor end a limit; of several the lowest counts; an answer with another request's id or a broken one says nothing; one without any id can name a limit, not end it.

--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -165,6 +165,7 @@
     void recordLateRun(SidecarCallId, Instant now);
     void observeFault(const AdmittedCall&, const RunReport&, Instant now);
     void updateServiceTime(BackendOccupancy&, const RunReport&);
+    void recordNotice(Turn&, const AdmittedCall&, const RunReport&);
     void observeCrashes(Turn&, const AdmittedCall&, const RunReport&);
     void recordSuspectedCrashes(Turn&, const BackendId&, Incarnation);
     void recordCrash(Turn&, const AdmittedCall&);
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -229,6 +229,7 @@
     observeFault(admitted, report, turn.now());
     if (report.reason == Reason::BackendMisdirected && admitted.incarnation == m_occupancies[admitted.backend].incarnation)
         m_occupancies[admitted.backend].misdirectedUntil = turn.now() + misdirectionHold;
+    recordNotice(turn, admitted, report);
     observeCrashes(turn, admitted, report);
     m_observer.runFinished(turn, call, admitted.backend, report);
     release(call);
@@ -724,6 +725,17 @@
         occupancy.serviceTime += (report.elapsed - occupancy.serviceTime) / serviceTimeSamples;
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::recordNotice(Turn& turn, const AdmittedCall& admitted, const RunReport& report)
+{
+    auto& known = m_occupancies.at(admitted.backend).notice;
+    if (!report.notice || *report.notice == known)
+        return;
+    known = *report.notice;
+    auto limit = known.requestLimit ? "takes " + std::to_string(*known.requestLimit) + " requests a second" : std::string("names no limit");
+    explain(turn, DecisionKind::BackendLimitChanged, admitted.backend, admitted.request, "run", limit + (known.isLeaving ? ", leaves" : ""));
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::observeCrashes(Turn& turn, const AdmittedCall& admitted, const RunReport& report)
 {
--- a/Libraries/LibDecision/Attempt.h
+++ b/Libraries/LibDecision/Attempt.h
@@ -6,6 +6,7 @@
 #include <LibModel/Time.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace Decision {
 
@@ -82,6 +83,16 @@
     InstanceId outcomeKeeper;
 };
 
+// What a backend server said of its own state in an answer.
+struct BackendNotice {
+    // Requests a second that it takes from all processes together; nullopt if it named no limit.
+    std::optional<double> requestLimit;
+    // True if it leaves and must get no new requests.
+    bool isLeaving { false };
+
+    bool operator==(const BackendNotice&) const = default;
+};
+
 // The result of one run of a request or probe at the backend server, as reported to the sidecar.
 struct RunReport {
     AttemptResult result { AttemptResult::Answered };
@@ -90,6 +101,8 @@
     Duration elapsed { 0 };
     // Whether the connection was opened for this request rather than reused.
     bool wasFreshConnection { true };
+    // Nullopt if there was no answer, or none that speaks for the backend server's state.
+    std::optional<BackendNotice> notice;
 };
 
 }
--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -52,6 +52,8 @@
         settings.notRun = reader.stringOr("not-run", settings.notRun);
         settings.notRunValue = reader.stringOr("not-run-value", settings.notRunValue);
         settings.answerProof = reader.stringOr("answer-proof", settings.answerProof);
+        settings.requestLimit = reader.stringOr("request-limit", settings.requestLimit);
+        settings.leaving = reader.stringOr("leaving", settings.leaving);
         settings.statuses = reader.enumeration<StatusScheme>("statuses", settings.statuses);
         for (const auto* name : { &settings.requestId, &settings.deadline, &settings.notRun }) {
             if (name->empty())
--- a/Libraries/LibModel/Settings.h
+++ b/Libraries/LibModel/Settings.h
@@ -119,6 +119,10 @@
     std::string notRunValue { "not-run" };
     // Every good answer of a backend server carries it.
     std::string answerProof;
+    // Names the requests a second that a backend server takes from all processes together, as a decimal number.
+    std::string requestLimit { "fulmar-request-limit" };
+    // Has the value 1 in the answers of a backend server that leaves.
+    std::string leaving { "fulmar-leaving" };
     StatusScheme statuses { StatusScheme::ByReason };
 };
 
--- a/Services/fulmard/ClientOutcome.cpp
+++ b/Services/fulmard/ClientOutcome.cpp
@@ -2,7 +2,9 @@
 
 #include <Services/fulmard/ProblemDetails.h>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace Fulmard {
 
@@ -69,6 +71,41 @@
         return isRefusal && edge.hasRequestIdInAnswers && !result.wasFreshConnection;
     }
 
+    // Gives nothing for whatever isn't a decimal number, or is too large for one.
+    std::optional<double> readDecimal(std::string_view text)
+    {
+        double number = 0;
+        bool startsWithDigit = !text.empty() && text.front() >= '0' && text.front() <= '9';
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+        bool isWhole = error == std::errc() && end == text.data() + text.size();
+        return startsWithDigit && isWhole ? std::optional(number) : std::nullopt;
+    }
+
+    // Of several limits the lowest counts, and those that can't be read don't.
+    std::optional<double> lowestLimit(const Transport::HeaderList& headers, const std::string& name)
+    {
+        std::optional<double> lowest;
+        for (const auto& header : headers) {
+            auto limit = header.name == name ? readDecimal(header.value) : std::nullopt;
+            if (limit && (!lowest || *limit < *lowest))
+                lowest = limit;
+        }
+        return lowest;
+    }
+
+    // An answer without the request's id may be older than others, so that it doesn't show that a limit has ended.
+    std::optional<Decision::BackendNotice> noticeIn(const Transport::HeaderList& headers, const EdgeSettings& edge)
+    {
+        constexpr std::string_view yes = "1";
+        Decision::BackendNotice notice;
+        notice.requestLimit = lowestLimit(headers, edge.requestLimit);
+        notice.isLeaving = Transport::findHeader(headers, edge.leaving) == yes;
+        bool namesUnreadableLimit = !notice.requestLimit && Transport::findHeader(headers, edge.requestLimit);
+        bool isCurrent = !edge.hasRequestIdInAnswers || Transport::findHeader(headers, edge.requestId);
+        bool saysNothing = !notice.requestLimit && !notice.isLeaving && (namesUnreadableLimit || !isCurrent);
+        return saysNothing ? std::nullopt : std::optional(notice);
+    }
+
 }
 
 AttemptResult attemptResultOf(ClientStatus status)
@@ -92,7 +129,10 @@
     if (isMalformed) {
         report.result = AttemptResult::Malformed;
         report.reason = Reason::AnswerMalformed;
-    } else if (isRefusal) {
+        return report;
+    }
+    report.notice = noticeIn(result.response.headers, edge);
+    if (isRefusal) {
         report.result = AttemptResult::RefusedNotRun;
         report.reason = isMisdirected(result.response) ? Reason::BackendMisdirected : Reason::BackendShedding;
     } else if (wouldPromise(report.status, edge)) {
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -28,11 +28,14 @@
         return { status, { { "content-type", "text/plain; charset=utf-8" } }, text + "\n" };
     }
 
-    // The answer to a health check proves nothing beyond its status, so it is read without the edge's headers.
-    Decision::RunReport probeReportOf(const Transport::ClientResult& result)
+    // The answer to a health check proves nothing beyond its status and what the backend server says of its own state, so
+    // it is read without the edge's other headers.
+    Decision::RunReport probeReportOf(const Transport::ClientResult& result, const EdgeSettings& edge)
     {
-        static const EdgeSettings plainEdge { .requestId = "" };
-        return runReportOf(result, plainEdge, RequestId());
+        EdgeSettings probeEdge { .requestId = "" };
+        probeEdge.requestLimit = edge.requestLimit;
+        probeEdge.leaving = edge.leaving;
+        return runReportOf(result, probeEdge, RequestId());
     }
 
 }
@@ -373,7 +376,7 @@
     request.deadline = effect.timeout;
     request.maximumConnections = probeConnections;
     m_client.send(std::move(request), [this, backend = effect.backend](const Transport::ClientResult& result) {
-        m_driver.handle(Decision::ProbeFinished { backend, probeReportOf(result) });
+        m_driver.handle(Decision::ProbeFinished { backend, probeReportOf(result, m_options.settings.edge) });
     });
 }
 
