LibDecision: Keep the limit on requests that a backend server names

Cause: what a backend server says of itself in an answer ended at the edge.

The sidecar is the only way to its backend server, so it keeps the limit: a token bucket per incarnation (RequestLimit), counted where a run starts. Rate and burst follow from the bound of 1.5 * limit * 4 + 5 in 4 s: limit * 4 + 1 + limit is below it for every limit. The bucket starts empty, and a limit below 0.5 a second lets that much through, since only answers show that it has ended. An answer whose request was sent before the limit was last named can lower it but not raise or end it. A sidecar process that is restarted has heard nothing, so ingresses remember what they were told and send it along with each request; that binds it until an answer is heard.

Tests: LimitLoadProperties plays whole nodes with kills, pauses, one-way cuts, errors and bursts in virtual time. Without the check in RequestLimit all three tests of whole nodes fail (152 and 125 requests above the bound); without what ingresses tell, ARestartedProcessKeepsTheLimitThatOnlyItsPredecessorHeard fails. A bucket that starts full isn't seen by the tests of whole nodes, only by RequestLimit's own. RetryLoad is renamed to FaultyLoad, since it serves both.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -279,6 +279,15 @@
     archive.field("table", value.table);
 }
 
+template <typename Archive>
+void describe(Archive& archive, BackendCondition& value)
+{
+    archive.field("incarnation", value.incarnation);
+    archive.optionalField("requestLimit", value.requestLimit);
+    archive.optionalField("limitWait", value.limitWait);
+    archive.optionalField("isHeard", value.isHeard);
+}
+
 template <typename Archive>
 void describe(Archive& archive, LoadReport& value)
 {
@@ -289,6 +298,7 @@
     archive.optionalField("suspicion", value.suspicion);
     archive.optionalField("faultProbability", value.faultProbability);
     archive.optionalField("isTrialDue", value.isTrialDue);
+    archive.optionalField("condition", value.condition);
 }
 
 inline const char* kindOf(const MemberRecord&) { return "member"; }
--- a/Libraries/LibControl/RunEnvelope.cpp
+++ b/Libraries/LibControl/RunEnvelope.cpp
@@ -30,6 +30,7 @@
     archive.optionalField("isOnlyForFreeSlot", value.isOnlyForFreeSlot);
     archive.optionalField("isLastResort", value.isLastResort);
     archive.optionalField("arrival", value.arrival);
+    archive.optionalField("knownLimit", value.knownLimit);
     archive.optionalField("isReplayOnly", value.isReplayOnly);
     archive.optionalField("attempt", value.attempt);
     archive.optionalField("firstSentAgo", value.firstSentAgo);
--- a/Libraries/LibControl/RunEnvelope.h
+++ b/Libraries/LibControl/RunEnvelope.h
@@ -9,6 +9,7 @@
 #include <LibModel/Outcome.h>
 #include <LibModel/Request.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,6 +40,8 @@
     // faults.
     bool isLastResort { false };
     Decision::ArrivalKind arrival { Decision::ArrivalKind::First };
+    // The limit on requests a second that this incarnation of the backend server named, as far as the ingress was told.
+    std::optional<double> knownLimit;
     // Whether the sidecar may only return a stored answer and must not run the request.
     bool isReplayOnly { false };
     // Identifies an order that may be resent, unique within one start of the sender; 0 if the order must not be resent.
--- a/Libraries/LibDecision/Admission/AdmittedCall.h
+++ b/Libraries/LibDecision/Admission/AdmittedCall.h
@@ -67,8 +67,6 @@
     FaultFilter faults;
     // Until then no request is sent, because this incarnation refused one as meant for another backend server.
     Instant misdirectedUntil;
-    // What the backend server last said of its own state.
-    BackendNotice notice;
     // The last request that was let in to find out whether a probable fault is over.
     std::optional<SidecarCallId> trial;
 };
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -5,6 +5,7 @@
 #include <LibDecision/Admission/ColdStartRamp.h>
 #include <LibDecision/Admission/CrashGuard.h>
 #include <LibDecision/Admission/FleetRetryShare.h>
+#include <LibDecision/Admission/RequestLimit.h>
 #include <LibDecision/Admission/RunLedger.h>
 #include <LibDecision/Configuration/ProfileRegistry.h>
 #include <LibDecision/Input.h>
@@ -61,8 +62,8 @@
         } -> std::same_as<double>;
 };
 
-// Admission control for the backend servers of this process: concurrency slots, a short queue that is fair between
-// accounts, deadlines, slow start, draining and claims. It alone decides about these for its backend servers.
+// Admission control for the backend servers of this process: concurrency slots, the rate of requests that they name, a
+// short queue that is fair between accounts, deadlines, slow start, draining and claims. It alone decides about these for its backend servers.
 //
 // Each request that arrives ends exactly once: it is answered, replayed, redirected, refused or cancelled. A request
 // that ends as "not run" was never sent to its backend server, or its backend server refused it.
@@ -109,6 +110,11 @@
     const ArrivalCounters& arrivals() const { return m_arrivals; }
 
 private:
+    struct LimitedBackend {
+        Incarnation incarnation;
+        RequestLimit limit;
+    };
+
     // Minimum usage charged for a request, so that no request is free.
     static constexpr Duration minimumCost = 1ms;
     // A cancelled run keeps its slot until its end is reported, but no longer than this.
@@ -127,21 +133,27 @@
     std::optional<Reason> dispatchRefusalFor(const AdmittedCall&, Instant now) const;
     std::optional<Reason> phaseRefusalFor(const LocalBackend*, Incarnation) const;
     bool hasSlotFor(const AdmittedCall&, Instant now) const;
+    // Returns why the request can't start now; nullopt if it can.
+    std::optional<Reason> waitReasonFor(const AdmittedCall&, Instant now) const;
     // Returns true if another backend server has probably taken the place of this one.
     bool isMisdirected(const BackendId&, Instant now) const;
 
     // Longest time that the request may wait for a slot here.
     Duration longestWait(const AdmittedCall&) const;
     // Time until a slot becomes free for the request if it joins the queue now.
-    Duration expectedWait(const AdmittedCall&) const;
+    Duration expectedWaitForSlot(const AdmittedCall&) const;
+    // Time until the backend server's limit lets the request through if it joins the queue now.
+    Duration waitForLimit(const AdmittedCall&, Instant now) const;
     void enqueue(Turn&, SidecarCallId, AdmittedCall&);
-    // Refuses a request that must not queue when no slot is free.
-    void refuseForNoFreeSlot(Turn&, SidecarCallId, const AdmittedCall&);
+    // Refuses a request that must not queue.
+    void refuseInsteadOfQueueing(Turn&, SidecarCallId, const AdmittedCall&, Reason);
     void start(Turn&, SidecarCallId, AdmittedCall&);
     void run(Turn&, SidecarCallId, AdmittedCall&);
     void serveQueue(Turn&, const BackendId&);
     void refuseQueue(Turn&, const BackendId&, Reason);
     void scheduleRamp(const BackendId&, Instant now);
+    // Serves the queue again when the backend server's limit lets the next request through.
+    void scheduleNextUnderLimit(const BackendId&, Instant now);
 
     void handleUngrantedClaim(Turn&, const ClaimDecision&);
     void withdrawClaim(Turn&, SidecarCallId, Verdict);
@@ -165,7 +177,16 @@
     void recordLateRun(SidecarCallId, Instant now);
     void observeFault(const AdmittedCall&, const RunReport&, Instant now);
     void updateServiceTime(BackendOccupancy&, const RunReport&);
-    void recordNotice(Turn&, const AdmittedCall&, const RunReport&);
+    // Takes what the backend server said of its own state in an answer to a request that was sent at that instant.
+    void heedNotice(Turn&, const BackendId&, Incarnation, const BackendNotice&, Instant sentAt);
+    void heedProbe(Turn&, const BackendId&, const RunReport&);
+    // Takes the limit that the ingress knows, in case that a predecessor of this process heard of it.
+    void learnLimit(Turn&, const SidecarCallArrived&);
+    // Returns nullptr if no answer of this incarnation was heard and no other process told of a limit.
+    const RequestLimit* limitOf(const BackendId&, Incarnation) const;
+    RequestLimit& ensureLimit(const BackendId&, Incarnation);
+    void explainLimit(Turn&, const BackendId&, const std::string& source, const RequestLimit&) const;
+    std::optional<BackendCondition> conditionOf(const LocalBackend&, Instant now) const;
     void observeCrashes(Turn&, const AdmittedCall&, const RunReport&);
     void recordSuspectedCrashes(Turn&, const BackendId&, Incarnation);
     void recordCrash(Turn&, const AdmittedCall&);
@@ -192,12 +213,16 @@
     Instant m_startedAt;
     std::unordered_map<SidecarCallId, AdmittedCall> m_calls;
     std::unordered_map<BackendId, BackendOccupancy> m_occupancies;
+    // Kept apart from the occupancies, which end when an announcement lapses: the backend server may still be in need.
+    std::unordered_map<BackendId, LimitedBackend> m_limits;
     // Timeouts of queued and claiming requests, and of cancelled runs.
     TimerQueue<SidecarCallId> m_waitTimers;
     // Instants at which running requests exceed their latency objective.
     TimerQueue<SidecarCallId> m_lateTimers;
     // Instants at which another slot of a cold backend server becomes usable.
     TimerQueue<BackendId> m_rampTimers;
+    // Instants at which a limit lets the next queued request through.
+    TimerQueue<BackendId> m_limitTimers;
     uint64_t m_ignoredInputs { 0 };
     ArrivalCounters m_arrivals;
     bool m_isLeaving { false };
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -24,7 +24,8 @@
 template <ClaimGate Gate, RunObserver Observer>
 std::optional<Instant> SidecarAdmission<Gate, Observer>::nextTimer() const
 {
-    return earliest(earliest(m_ledger.nextTimer(), m_lateTimers.next()), earliest(m_waitTimers.next(), m_rampTimers.next()));
+    auto first = earliest(earliest(m_ledger.nextTimer(), m_lateTimers.next()), earliest(m_waitTimers.next(), m_rampTimers.next()));
+    return earliest(first, m_limitTimers.next());
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -38,6 +39,8 @@
         handleWaitTimeout(turn, call);
     for (const auto& backend : m_rampTimers.takeDue(turn.now()))
         serveQueue(turn, backend);
+    for (const auto& backend : m_limitTimers.takeDue(turn.now()))
+        serveQueue(turn, backend);
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -74,6 +77,8 @@
         return;
     }
     auto reason = refusalFor(turn, arrival);
+    if (!reason)
+        learnLimit(turn, arrival);
     if (!reason && exceedsRetryShare(arrival, turn.now()))
         reason = Reason::RetryBudgetExhausted;
     bool isTrial = !reason && exceedsFaultBound(arrival.backend, arrival.isIdempotent, turn.now()) && beginTrial(arrival, turn.now());
@@ -111,10 +116,13 @@
     if (arrival.key)
         m_ledger.begin(*arrival.key, arrival.call);
     reserveRetry(call, turn.now());
-    if (occupancy.queue.isEmpty() && hasSlotFor(call, turn.now()))
+    auto waitReason = waitReasonFor(call, turn.now());
+    if (!waitReason && !occupancy.queue.isEmpty())
+        waitReason = Reason::BackendBusy;
+    if (!waitReason)
         start(turn, arrival.call, call);
     else if (arrival.isOnlyForFreeSlot)
-        refuseForNoFreeSlot(turn, arrival.call, call);
+        refuseInsteadOfQueueing(turn, arrival.call, call, *waitReason);
     else
         enqueue(turn, arrival.call, call);
 }
@@ -208,6 +216,11 @@
         withdrawClaim(turn, decision.call, { Outcome::NotRun, Reason::Overloaded });
         return;
     }
+    const auto* limit = limitOf(admitted.backend, admitted.incarnation);
+    if (limit && !limit->allows(turn.now())) {
+        withdrawClaim(turn, decision.call, { Outcome::NotRun, Reason::BackendLimited });
+        return;
+    }
     run(turn, decision.call, admitted);
 }
 
@@ -229,7 +242,8 @@
     observeFault(admitted, report, turn.now());
     if (report.reason == Reason::BackendMisdirected && admitted.incarnation == m_occupancies[admitted.backend].incarnation)
         m_occupancies[admitted.backend].misdirectedUntil = turn.now() + misdirectionHold;
-    recordNotice(turn, admitted, report);
+    if (report.notice)
+        heedNotice(turn, admitted.backend, admitted.incarnation, *report.notice, admitted.startedAt);
     observeCrashes(turn, admitted, report);
     m_observer.runFinished(turn, call, admitted.backend, report);
     release(call);
@@ -247,6 +261,7 @@
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::probeFinished(Turn& turn, const BackendId& backend, const RunReport& report)
 {
+    heedProbe(turn, backend, report);
     auto occupancy = m_occupancies.find(backend);
     if (occupancy == m_occupancies.end())
         return;
@@ -299,6 +314,8 @@
     if (local && local->phase == BackendPhase::Serving && !isMisdirected(backend, now))
         report.slots = ColdStartRamp(local->servingSince, profileOf(backend).lifecycle.coldStart, local->announcement.slots).usableSlots(now);
     report.suspicion = m_observer.sidecarSuspicion(backend);
+    if (local)
+        report.condition = conditionOf(*local, now);
     auto occupancy = m_occupancies.find(backend);
     if (occupancy == m_occupancies.end())
         return report;
@@ -476,6 +493,15 @@
     return !mustRunAlone || occupancy.running == 0;
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+std::optional<Reason> SidecarAdmission<Gate, Observer>::waitReasonFor(const AdmittedCall& admitted, Instant now) const
+{
+    if (!hasSlotFor(admitted, now))
+        return Reason::BackendBusy;
+    const auto* limit = limitOf(admitted.backend, admitted.incarnation);
+    return limit && !limit->allows(now) ? std::optional(Reason::BackendLimited) : std::nullopt;
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 bool SidecarAdmission<Gate, Observer>::isMisdirected(const BackendId& backend, Instant now) const
 {
@@ -491,7 +517,14 @@
 }
 
 template <ClaimGate Gate, RunObserver Observer>
-Duration SidecarAdmission<Gate, Observer>::expectedWait(const AdmittedCall& admitted) const
+Duration SidecarAdmission<Gate, Observer>::waitForLimit(const AdmittedCall& admitted, Instant now) const
+{
+    const auto* limit = limitOf(admitted.backend, admitted.incarnation);
+    return limit ? limit->waitFor(m_occupancies.at(admitted.backend).queue.countAhead(admitted.priority), now) : Duration::zero();
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+Duration SidecarAdmission<Gate, Observer>::expectedWaitForSlot(const AdmittedCall& admitted) const
 {
     const auto& occupancy = m_occupancies.at(admitted.backend);
     auto slots = std::max<Duration::rep>(1, m_backends.find(admitted.backend)->announcement.slots);
@@ -503,10 +536,14 @@
 {
     const auto& profile = profileOf(admitted.backend);
     auto& occupancy = m_occupancies.at(admitted.backend);
-    if (expectedWait(admitted) > longestWait(admitted)) {
+    if (expectedWaitForSlot(admitted) > longestWait(admitted)) {
         end(turn, call, { Outcome::NotRun, Reason::QueueFull }, "queue");
         return;
     }
+    if (waitForLimit(admitted, turn.now()) > longestWait(admitted)) {
+        end(turn, call, { Outcome::NotRun, Reason::BackendLimited }, "queue");
+        return;
+    }
     auto usage = m_usage.estimate(admitted.request.service, admitted.request.account, turn.now());
     auto cost = static_cast<double>(std::max<Duration>(occupancy.serviceTime, minimumCost).count());
     auto offer = occupancy.queue.offer(call, admitted.priority, admitted.request.account, usage, cost, { profile.capacity.queueLength, profile.fairness.maximumAccountShare });
@@ -519,6 +556,7 @@
     m_waitTimers.set(call, std::min(admitted.deadline, turn.now() + longestWait(admitted)));
     explain(turn, DecisionKind::RequestQueued, admitted.backend, admitted.request, "queue", std::to_string(occupancy.queue.size()) + " of " + std::to_string(profile.capacity.queueLength) + " queue positions are used");
     scheduleRamp(admitted.backend, turn.now());
+    scheduleNextUnderLimit(admitted.backend, turn.now());
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -549,6 +587,8 @@
     admitted.stage = AdmissionStage::Running;
     admitted.startedAt = turn.now();
     countArrival(turn, admitted);
+    if (auto limit = m_limits.find(admitted.backend); limit != m_limits.end() && limit->second.incarnation == admitted.incarnation)
+        limit->second.limit.countRequest(turn.now());
     RunCall effect;
     effect.call = call;
     effect.backend = admitted.backend;
@@ -577,13 +617,14 @@
             end(turn, *call, { Outcome::NotRun, *refusalReason }, "queue");
             continue;
         }
-        if (!hasSlotFor(admitted, turn.now()))
+        if (waitReasonFor(admitted, turn.now()))
             break;
         queue.remove(*call);
         m_waitTimers.cancel(*call);
         start(turn, *call, admitted);
     }
     scheduleRamp(backend, turn.now());
+    scheduleNextUnderLimit(backend, turn.now());
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -606,6 +647,16 @@
         m_rampTimers.set(backend, *step);
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::scheduleNextUnderLimit(const BackendId& backend, Instant now)
+{
+    m_limitTimers.cancel(backend);
+    const auto* local = m_backends.find(backend);
+    const auto* limit = local ? limitOf(backend, local->announcement.incarnation) : nullptr;
+    if (limit && !m_occupancies.at(backend).queue.isEmpty() && !limit->allows(now))
+        m_limitTimers.set(backend, now + limit->waitFor(0, now));
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::handleUngrantedClaim(Turn& turn, const ClaimDecision& decision)
 {
@@ -704,13 +755,13 @@
 }
 
 template <ClaimGate Gate, RunObserver Observer>
-void SidecarAdmission<Gate, Observer>::refuseForNoFreeSlot(Turn& turn, SidecarCallId call, const AdmittedCall& admitted)
+void SidecarAdmission<Gate, Observer>::refuseInsteadOfQueueing(Turn& turn, SidecarCallId call, const AdmittedCall& admitted, Reason reason)
 {
     auto refused = admitted;
     refundRetry(refused);
     m_calls.erase(call);
-    m_ledger.end(call, RunState::NotRun, Reason::BackendBusy, turn.now());
-    sendRefusal(turn, call, refused.backend, refused.request, { Outcome::NotRun, Reason::BackendBusy }, "admit");
+    m_ledger.end(call, RunState::NotRun, reason, turn.now());
+    sendRefusal(turn, call, refused.backend, refused.request, { Outcome::NotRun, reason }, "admit");
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -726,14 +777,82 @@
 }
 
 template <ClaimGate Gate, RunObserver Observer>
-void SidecarAdmission<Gate, Observer>::recordNotice(Turn& turn, const AdmittedCall& admitted, const RunReport& report)
+void SidecarAdmission<Gate, Observer>::heedNotice(Turn& turn, const BackendId& backend, Incarnation incarnation, const BackendNotice& notice, Instant sentAt)
 {
-    auto& known = m_occupancies.at(admitted.backend).notice;
-    if (!report.notice || *report.notice == known)
+    const auto* local = m_backends.find(backend);
+    if (!local || local->announcement.incarnation != incarnation)
         return;
-    known = *report.notice;
-    auto limit = known.requestLimit ? "takes " + std::to_string(*known.requestLimit) + " requests a second" : std::string("names no limit");
-    explain(turn, DecisionKind::BackendLimitChanged, admitted.backend, admitted.request, "run", limit + (known.isLeaving ? ", leaves" : ""));
+    auto& limit = ensureLimit(backend, incarnation);
+    if (limit.hear(notice.requestLimit, sentAt, turn.now()))
+        explainLimit(turn, backend, "its answer", limit);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::heedProbe(Turn& turn, const BackendId& backend, const RunReport& report)
+{
+    const auto* local = m_backends.find(backend);
+    auto sentAt = turn.now() - report.elapsed;
+    bool isOfThisIncarnation = local && local->servingSince <= sentAt;
+    // The health path may leave out what all other answers name.
+    bool saysSomething = report.notice && *report.notice != BackendNotice {};
+    if (isOfThisIncarnation && saysSomething)
+        heedNotice(turn, backend, local->announcement.incarnation, *report.notice, sentAt);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::learnLimit(Turn& turn, const SidecarCallArrived& arrival)
+{
+    if (!arrival.knownLimit)
+        return;
+    auto& limit = ensureLimit(arrival.backend, arrival.incarnation);
+    if (limit.learn(*arrival.knownLimit, turn.now()))
+        explainLimit(turn, arrival.backend, "an ingress", limit);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+const RequestLimit* SidecarAdmission<Gate, Observer>::limitOf(const BackendId& backend, Incarnation incarnation) const
+{
+    auto entry = m_limits.find(backend);
+    bool isKnown = entry != m_limits.end() && entry->second.incarnation == incarnation;
+    return isKnown ? &entry->second.limit : nullptr;
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+RequestLimit& SidecarAdmission<Gate, Observer>::ensureLimit(const BackendId& backend, Incarnation incarnation)
+{
+    auto entry = m_limits.find(backend);
+    if (entry == m_limits.end()) {
+        std::erase_if(m_limits, [this](const auto& known) { return !m_backends.find(known.first); });
+        entry = m_limits.emplace(backend, LimitedBackend { incarnation, {} }).first;
+    }
+    if (entry->second.incarnation != incarnation)
+        entry->second = { incarnation, {} };
+    return entry->second.limit;
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::explainLimit(Turn& turn, const BackendId& backend, const std::string& source, const RequestLimit& limit) const
+{
+    auto value = limit.value();
+    explain(turn, DecisionKind::BackendLimitChanged, backend, {}, "limit", source + (value ? " names " + std::to_string(*value) + " requests a second" : " names no limit"));
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+std::optional<BackendCondition> SidecarAdmission<Gate, Observer>::conditionOf(const LocalBackend& local, Instant now) const
+{
+    const auto& backend = local.announcement.id;
+    const auto* limit = limitOf(backend, local.announcement.incarnation);
+    if (limit && limit->isHeard() && !limit->wasEverNamed())
+        return std::nullopt;
+    BackendCondition condition;
+    condition.incarnation = local.announcement.incarnation;
+    condition.isHeard = limit && limit->isHeard();
+    if (limit && limit->value()) {
+        auto occupancy = m_occupancies.find(backend);
+        condition.requestLimit = limit->value();
+        condition.limitWait = limit->waitFor(occupancy == m_occupancies.end() ? 0 : occupancy->second.queue.size(), now);
+    }
+    return condition;
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -850,6 +969,7 @@
     if (!isGone || occupancy.running > 0)
         return;
     m_rampTimers.cancel(backend);
+    m_limitTimers.cancel(backend);
     m_occupancies.erase(backend);
 }
 
--- a/Libraries/LibDecision/Attempt.h
+++ b/Libraries/LibDecision/Attempt.h
@@ -48,6 +48,20 @@
     CountedAsRetry,
 };
 
+// What a sidecar knows of the state that a backend server's answers tell.
+struct BackendCondition {
+    // The incarnation that it holds for.
+    Incarnation incarnation;
+    // Requests a second that it takes from all processes together; nullopt if none is named, or no answer told yet.
+    std::optional<double> requestLimit;
+    // Time until the limit lets another request through, after those that wait.
+    Duration limitWait { 0 };
+    // Whether an answer has told the sidecar if there is a limit.
+    bool isHeard { false };
+
+    bool operator==(const BackendCondition&) const = default;
+};
+
 // The state of a backend server, which its sidecar attaches to each answer and refusal.
 struct LoadReport {
     uint32_t slots { 0 };
@@ -61,6 +75,8 @@
     double faultProbability { 0 };
     // Whether the sidecar would admit an idempotent request in spite of a probable fault, to find out whether it is over.
     bool isTrialDue { false };
+    // Nullopt if the sidecar has heard that there is no limit and knows of nobody that believes in one.
+    std::optional<BackendCondition> condition;
 
     bool operator==(const LoadReport&) const = default;
 };
--- a/Libraries/LibDecision/Calls/AttemptVerdict.cpp
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.cpp
@@ -91,6 +91,7 @@
     case Reason::BackendSuspected:
     case Reason::BackendBusy:
     case Reason::BackendCold:
+    case Reason::BackendLimited:
     case Reason::ClaimUnavailable:
     case Reason::ProcessLeaving:
     case Reason::Overloaded:
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -256,6 +256,7 @@
     effect.isOnlyForFreeSlot = call.reroutes < std::min(maximumFreeSlotAttempts, profile.retries.reroutes) && !choice.isFull;
     effect.isLastResort = choice.isLastResort;
     effect.arrival = nextArrival(call);
+    effect.knownLimit = choice.knownLimit;
     effect.latencyObjective = call.terms.latencyObjective;
     effect.priority = call.terms.priority;
     call.backend = choice.backend;
--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -47,6 +47,8 @@
     // True if no healthier backend server is known, so the sidecar must not refuse because of suspicion.
     bool isLastResort { false };
     ArrivalKind arrival { ArrivalKind::First };
+    // The limit on requests a second that this incarnation of the backend server named, as far as this process was told.
+    std::optional<double> knownLimit;
     // True if the sidecar may only replay a stored answer and must not run the request.
     bool isReplayOnly { false };
     // True if the sidecar must recognise a repeated send of this request, so that it isn't run twice.
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -71,6 +71,8 @@
     // True if the ingress knows no healthier backend server.
     bool isLastResort { false };
     ArrivalKind arrival { ArrivalKind::First };
+    // The limit on requests a second that this incarnation of the backend server named, as far as the ingress was told.
+    std::optional<double> knownLimit;
     // True if the request must not run and only a stored answer may be replayed.
     bool isReplayOnly { false };
     // Set if the ingress may send this request again over another connection.
--- a/Libraries/LibDecision/Routing/Router.h
+++ b/Libraries/LibDecision/Routing/Router.h
@@ -7,6 +7,7 @@
 #include <LibDecision/Registry/BackendRegistry.h>
 #include <LibDecision/Rendezvous.h>
 #include <LibDecision/Routing/CandidateList.h>
+#include <LibDecision/Routing/KnownLimits.h>
 #include <LibDecision/Routing/LoadTable.h>
 #include <LibDecision/Turn.h>
 
@@ -49,6 +50,8 @@
     bool isLastResort { false };
     // True if all slots are probably in use.
     bool isFull { false };
+    // The limit on requests a second that this incarnation named, as far as this process was told.
+    std::optional<double> knownLimit;
 };
 
 // The queries that the router makes about processes.
@@ -147,6 +150,7 @@
     const Health& m_health;
     const ProfileRegistry& m_profiles;
     LoadTable m_loads;
+    KnownLimits m_limits;
     std::unordered_map<ServiceName, CandidateList> m_candidates;
 };
 
@@ -196,6 +200,8 @@
 template <MembershipView Members>
 void Router<Members>::attemptFinished(Turn& turn, const BackendId& backend, const AttemptReport& report)
 {
+    if (report.hasLoad && report.load.condition)
+        m_limits.learn(backend, *report.load.condition, turn.now());
     auto record = m_registry.find(backend);
     if (record)
         m_loads.finished(*record, report, turn.now());
@@ -440,6 +446,7 @@
     auto member = m_members.find(record.sidecar);
     RouteChoice choice { record, record.sidecar, member ? member->control : Endpoint {}, evidence.str() };
     choice.isLastResort = rated.isLastResort;
+    choice.knownLimit = m_limits.find(record.id, record.incarnation);
     choice.isFull = m_loads.expectedRequests(record, turn.now()) + 1 > record.slots;
     return choice;
 }
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -138,6 +138,7 @@
     order.isOnlyForFreeSlot = effect.isOnlyForFreeSlot;
     order.isLastResort = effect.isLastResort;
     order.arrival = effect.arrival;
+    order.knownLimit = effect.knownLimit;
     order.isReplayOnly = effect.isReplayOnly;
     if (effect.requiresDeduplication)
         order.attempt = effect.attempt;
--- a/Services/fulmard/SidecarCalls.cpp
+++ b/Services/fulmard/SidecarCalls.cpp
@@ -51,6 +51,7 @@
     arrived.isOnlyForFreeSlot = order.isOnlyForFreeSlot;
     arrived.isLastResort = order.isLastResort;
     arrived.arrival = order.arrival;
+    arrived.knownLimit = order.knownLimit;
     arrived.isReplayOnly = order.isReplayOnly;
     if (order.attempt.value())
         arrived.key = Decision::RunKey { order.from, order.senderStart, order.attempt };
--- a/Tests/LibDecision/Node/RetryLoad.cpp
+++ b/Tests/LibDecision/Node/FaultyLoad.cpp
@@ -1,8 +1,10 @@
-#include "RetryLoad.h"
+#include "FaultyLoad.h"
 
 #include <LibDecision/NodeState.h>
 
 #include <algorithm>
+#include <limits>
+#include <map>
 
 namespace Testing {
 
@@ -29,11 +31,11 @@
         return route;
     }
 
-    size_t serviceOf(size_t backend) { return backend < RetryLoad::callingNodes ? 0 : 1; }
+    size_t serviceOf(size_t backend) { return backend < FaultyLoad::callingNodes ? 0 : 1; }
 
 }
 
-NodeFleetOptions RetryLoad::fleetOptions()
+NodeFleetOptions FaultyLoad::fleetOptions()
 {
     auto table = std::make_shared<RouteTable>();
     table->version = Revision(1);
@@ -55,7 +57,7 @@
     return options;
 }
 
-RetryLoad::RetryLoad(uint64_t seed, std::vector<RetryFault> faults)
+FaultyLoad::FaultyLoad(uint64_t seed, std::vector<LoadFault> faults)
     : m_faults(std::move(faults))
     , m_fleet(seed, nodeCount, fleetOptions())
     , m_random(seed + 1)
@@ -71,7 +73,7 @@
     }
 }
 
-void RetryLoad::run()
+void FaultyLoad::run()
 {
     m_fleet.runFor(warmUp);
     m_loadEnds = m_fleet.fleet().now() + loadTime;
@@ -82,7 +84,7 @@
     m_fleet.runFor(loadTime + 3s);
 }
 
-void RetryLoad::startFault(const RetryFault& fault)
+void FaultyLoad::startFault(const LoadFault& fault)
 {
     auto& fleet = m_fleet.fleet();
     auto node = fault.first % nodeCount;
@@ -98,42 +100,64 @@
     // Between a tenth and nine tenths.
     auto severity = 0.1 * static_cast<double>(1 + fault.second % 9);
     switch (fault.kind) {
-    case RetryFaultKind::Kill:
+    case LoadFaultKind::Kill:
         for (size_t victim = node; victim <= std::max(node, other); ++victim) {
             m_fleet.kill(victim);
             fleet.callLater(std::min<Duration>(fault.length, 1s), [this, victim] { m_fleet.restart(victim); });
         }
         break;
-    case RetryFaultKind::Pause:
+    case LoadFaultKind::Pause:
         m_fleet.pause(node, fault.length);
         break;
-    case RetryFaultKind::CutOneWay:
+    case LoadFaultKind::CutOneWay:
         m_cuts.insert({ node, other });
         fleet.callLater(fault.length, [this, node, other] { m_cuts.erase(m_cuts.find({ node, other })); });
         break;
-    case RetryFaultKind::Errors:
+    case LoadFaultKind::Errors:
         inject(&BackendFaults::errorShare, severity);
         break;
-    case RetryFaultKind::Cuts:
+    case LoadFaultKind::Cuts:
         inject(&BackendFaults::cutShare, severity);
         break;
-    case RetryFaultKind::Sheds:
+    case LoadFaultKind::Sheds:
         inject(&BackendFaults::shedShare, severity);
         break;
-    case RetryFaultKind::Misdirects:
+    case LoadFaultKind::Misdirects:
         inject(&BackendFaults::misdirectedShare, severity);
         break;
-    case RetryFaultKind::Slow:
+    case LoadFaultKind::Slow:
         inject(&BackendFaults::slowFactor, 10 * severity);
         break;
-    case RetryFaultKind::Burst:
+    case LoadFaultKind::Burst:
         m_burst = 4;
         fleet.callLater(fault.length, [this] { m_burst = 1; });
         break;
+    case LoadFaultKind::NamedLimit:
+        nameLimits(fault);
+        break;
+    }
+}
+
+void FaultyLoad::nameLimits(const LoadFault& fault)
+{
+    auto now = m_fleet.fleet().now();
+    auto service = fault.first % serviceCount;
+    bool isLimited = std::ranges::any_of(m_namedLimits, [&](const NamedLimit& limit) { return serviceOf(limit.backend) == service && now <= limit.to; });
+    if (isLimited)
+        return;
+    for (size_t backend = 0; backend < nodeCount; ++backend) {
+        // All of the service, or two in three.
+        bool isSpared = fault.second % 2 == 1 && backend % 3 == 0;
+        if (serviceOf(backend) != service || isSpared)
+            continue;
+        auto limit = 0.8 * static_cast<double>(fault.second % 9);
+        faultsOf(backend).namedLimit = limit;
+        m_fleet.fleet().callLater(fault.length, [this, backend] { faultsOf(backend).namedLimit.reset(); });
+        m_namedLimits.push_back({ backend, limit, now, now + fault.length });
     }
 }
 
-void RetryLoad::sendNext(size_t service)
+void FaultyLoad::sendNext(size_t service)
 {
     auto& fleet = m_fleet.fleet();
     if (fleet.now() >= m_loadEnds)
@@ -146,7 +170,7 @@
     fleet.callLater(Duration(static_cast<int64_t>(gap(m_random) * 1e6)), [this, service] { sendNext(service); });
 }
 
-double RetryLoad::largestExcess() const
+double FaultyLoad::largestRetryExcess() const
 {
     auto worst = -extra;
     for (const auto& service : services) {
@@ -164,7 +188,7 @@
     return worst;
 }
 
-double RetryLoad::excessIn(const ServiceName& service, const std::vector<Instant>& requests, Instant end) const
+double FaultyLoad::excessIn(const ServiceName& service, const std::vector<Instant>& requests, Instant end) const
 {
     auto repeats = std::ranges::count_if(m_fleet.arrivals(), [&](const BackendArrival& arrival) {
         return arrival.isRepeat && arrival.service == service && arrival.at > end - window && arrival.at <= end;
@@ -177,4 +201,49 @@
     return static_cast<double>(repeats) - ratio * static_cast<double>(allowedFor) - extra;
 }
 
+std::vector<Instant> FaultyLoad::countedArrivals(const NamedLimit& limit) const
+{
+    // A process counts once it has passed on an answer that named the limit this long ago.
+    constexpr Duration lag = 500ms;
+    std::map<std::pair<size_t, uint32_t>, Instant> toldAt;
+    for (const auto& told : m_fleet.toldLimits()) {
+        if (told.backend == limit.backend && told.at >= limit.from)
+            toldAt.try_emplace({ told.ingress, told.ingressGeneration }, told.at);
+    }
+    std::vector<Instant> arrivals;
+    for (const auto& arrival : m_fleet.arrivals()) {
+        auto told = toldAt.find({ arrival.ingress, arrival.ingressGeneration });
+        if (arrival.backend == limit.backend && arrival.at <= limit.to && told != toldAt.end() && told->second + lag <= arrival.at)
+            arrivals.push_back(arrival.at);
+    }
+    return arrivals;
+}
+
+double FaultyLoad::excessOver(const NamedLimit& limit) const
+{
+    // The users' rule: requests in any such window, once the limit was named for a while.
+    constexpr Duration limitWindow = 4s;
+    constexpr Duration settling = 3s;
+    constexpr double tolerance = 1.5;
+    constexpr double extraRequests = 5;
+    auto allowed = tolerance * limit.requestsPerSecond * std::chrono::duration<double>(limitWindow).count() + extraRequests;
+    auto arrivals = countedArrivals(limit);
+    auto worst = -allowed;
+    for (auto end : arrivals) {
+        if (end < limit.from + settling)
+            continue;
+        auto count = std::ranges::count_if(arrivals, [&](Instant at) { return at > end - limitWindow && at <= end; });
+        worst = std::max(worst, static_cast<double>(count) - allowed);
+    }
+    return worst;
+}
+
+double FaultyLoad::largestLimitExcess() const
+{
+    auto worst = -std::numeric_limits<double>::infinity();
+    for (const auto& limit : m_namedLimits)
+        worst = std::max(worst, excessOver(limit));
+    return worst;
+}
+
 }
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -23,6 +23,8 @@
     // Refused as not run: because it is full, or as meant for another backend server.
     double shedShare { 0 };
     double misdirectedShare { 0 };
+    // Requests a second that the backend server names in its answers.
+    std::optional<double> namedLimit;
     // A request crashes the backend server if the low half of its fingerprint has this value; 0 disables crashes.
     uint64_t crashFingerprint { 0 };
 };
@@ -81,11 +83,22 @@
 // A request reached a backend server, which may have refused it.
 struct BackendArrival {
     ServiceName service;
+    size_t backend { 0 };
+    size_t ingress { 0 };
+    uint32_t ingressGeneration { 0 };
     Instant at;
     // Not the request's first arrival, or made by such a run.
     bool isRepeat { false };
 };
 
+// A process passed on an answer that named a limit.
+struct ToldLimit {
+    size_t backend { 0 };
+    size_t ingress { 0 };
+    uint32_t ingressGeneration { 0 };
+    Instant at;
+};
+
 struct NodeFleetOptions {
     RoutingMode routing { RoutingMode::ServiceHeader };
     Profile defaultProfile;
@@ -122,6 +135,7 @@
     std::vector<FakeBackend>& backends() { return m_backends; }
     const std::vector<CallerRequest>& requests() const { return m_requests; }
     const std::vector<BackendArrival>& arrivals() const { return m_arrivals; }
+    const std::vector<ToldLimit>& toldLimits() const { return m_toldLimits; }
     // Number of runs by "SERVICE/KEY", for requests with an idempotency key.
     const std::map<std::string, uint32_t>& runsByKey() const { return m_runsByKey; }
     const std::map<DecisionKind, size_t>& decisions() const { return m_decisions; }
@@ -217,6 +231,10 @@
     std::map<SidecarKey, RequestId> m_keptAnswers;
     std::map<RequestId, size_t> m_requestById;
     std::vector<BackendArrival> m_arrivals;
+    std::vector<ToldLimit> m_toldLimits;
+    // The backend servers that named limits in the answers of these runs and attempts.
+    std::map<SidecarKey, size_t> m_limitingRuns;
+    std::map<std::pair<CallId, AttemptId>, size_t> m_limitingAnswers;
     std::map<std::string, uint32_t> m_runsByKey;
     std::map<DecisionKind, size_t> m_decisions;
     std::set<size_t> m_left;
