LibDecision: Choose backend servers by the limits that they name

What callers saw once the limits were kept: requests that went to a limited backend server were refused there and tried several others; where all were limited, they waited for half of their latency objective and were told to come back after a second, whenever there was room.

Ingresses didn't know the limits. Now each answer and refusal tells the limit and when it lets another request through, and the router counts that as a wait. Many ingresses wait for the same limit, so each waits longer the more often it was refused, in units of the limit's interval: the offers of a fleet of any size stay in proportion to the limit. If the limits of all backend servers that may take a request are used up for longer than it can wait, it is rejected at once, with the time until there is room as Retry-After.

Urgent requests go first only in a sidecar's queue; the ingress doesn't prefer them.

--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -25,13 +25,17 @@
 
 // The interface to routing that CallTable needs.
 template <typename T>
-concept CallRouter = requires(T& router, Turn& turn, const RouteRequest& request, Reason& reason, const BackendId& backend, const AttemptReport& report, const InstanceId& instance)
+concept CallRouter = requires(T& router, Turn& turn, const RouteRequest& request, Reason& reason, const BackendId& backend, const AttemptReport& report, const InstanceId& instance, const ServiceName& service, Instant now)
 {
     {
         router.choose(turn, request, reason)
         } -> std::same_as<std::optional<RouteChoice>>;
     router.attemptStarted(turn, backend);
     router.attemptFinished(turn, backend, report);
+    // Returns how long the service's limits let no request through; zero if they do, or there are none.
+    {
+        router.limitWait(service, now)
+        } -> std::same_as<Duration>;
     // Returns the endpoint at which the process accepts connections of the fleet; nullopt if the process is unknown or
     // unreachable.
     {
@@ -106,6 +110,9 @@
     static constexpr Duration answerMargin = 5ms;
     // Delay after which callers that were refused for a transient reason should retry.
     static constexpr Duration retryAfterHint = 1s;
+    // Longest and shortest delay after which callers should retry if the limits of all backend servers are used up.
+    static constexpr Duration shortestLimitHint = 100ms;
+    static constexpr Duration longestLimitHint = 10s;
     // Interval at which a waiting request is routed again.
     static constexpr Duration routingInterval = 40ms;
     // Delay before an attempt whose connection failed is sent again, to avoid a busy loop while the peer is down.
@@ -122,6 +129,8 @@
     // Sends the request elsewhere after a sidecar refused it and it reached no backend server. Returns false if the
     // deadline has passed or the profile's limit of reroutes is reached.
     bool reroute(Turn&, CallId, CallRecord&);
+    // Routes the request again later, or ends it if that is of no use.
+    void waitOrConclude(Turn&, CallId, CallRecord&);
     // Schedules another routing of the request. Returns false if the request must not wait any longer.
     bool scheduleRouting(Turn&, CallId, CallRecord&);
     // How much longer the request may wait for a slot to be answered in time; zero if it will be late.
@@ -164,6 +173,8 @@
     // refusal.
     void conclude(Turn&, CallId, CallRecord&);
     void sendRefusal(Turn&, CallId, const CallRecord&, Outcome);
+    // Delay after which the caller may try again; zero if there is no hint.
+    Duration retryAfterOf(const CallRecord&, Instant now) const;
     void recordNestedFailure(const CallRecord&);
     void transition(CallRecord&, RequestEvent);
     void remove(CallId);
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -160,8 +160,8 @@
     auto choice = choose(turn, call, call.lastReason);
     if (choice)
         send(turn, id, call, *choice);
-    else if (!scheduleRouting(turn, id, call))
-        conclude(turn, id, call);
+    else
+        waitOrConclude(turn, id, call);
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
@@ -177,13 +177,27 @@
     Reason reason = Reason::None;
     auto choice = choose(turn, call, reason);
     bool hasRefusedBefore = choice && std::ranges::find(call.refusedBy, choice->backend.id) != call.refusedBy.end();
-    if (choice && !hasRefusedBefore)
+    if (choice && !hasRefusedBefore) {
         send(turn, id, call, *choice);
-    else if (!scheduleRouting(turn, id, call))
-        conclude(turn, id, call);
+        return true;
+    }
+    // What refused the attempt says nothing about the other backend servers.
+    if (reason == Reason::BackendLimited)
+        call.lastReason = reason;
+    else if (call.lastReason == Reason::BackendLimited)
+        call.lastReason = Reason::BackendBusy;
+    waitOrConclude(turn, id, call);
     return true;
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+void CallTable<Routing, Observer, Directory>::waitOrConclude(Turn& turn, CallId id, CallRecord& call)
+{
+    // The limits of all backend servers let the request through too late, so waiting would only keep its caller.
+    if (call.lastReason == Reason::BackendLimited || !scheduleRouting(turn, id, call))
+        conclude(turn, id, call);
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 bool CallTable<Routing, Observer, Directory>::scheduleRouting(Turn& turn, CallId id, CallRecord& call)
 {
@@ -217,8 +231,8 @@
     auto choice = choose(turn, call, call.lastReason);
     if (choice)
         send(turn, id, call, *choice);
-    else if (!scheduleRouting(turn, id, call))
-        conclude(turn, id, call);
+    else
+        waitOrConclude(turn, id, call);
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
@@ -569,11 +583,19 @@
 {
     recordNestedFailure(call);
     std::string step = call.attempts == 0 ? "route" : "attempt " + std::to_string(call.attempts);
-    turn.emit(RefuseCall { id, outcome, call.lastReason, step, call.lastPeer, isTransient(call.lastReason) ? retryAfterHint : Duration::zero() });
+    turn.emit(RefuseCall { id, outcome, call.lastReason, step, call.lastPeer, retryAfterOf(call, turn.now()) });
     auto kind = outcome == Outcome::NotRun ? DecisionKind::RequestRefused : DecisionKind::RequestUnknown;
     explain(turn, kind, call, step, std::string(nameOf(call.lastReason)));
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+Duration CallTable<Routing, Observer, Directory>::retryAfterOf(const CallRecord& call, Instant now) const
+{
+    if (call.lastReason == Reason::BackendLimited)
+        return std::clamp<Duration>(m_routing.limitWait(call.request.service, now), shortestLimitHint, longestLimitHint);
+    return isTransient(call.lastReason) ? retryAfterHint : Duration::zero();
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::recordNestedFailure(const CallRecord& call)
 {
--- a/Libraries/LibDecision/Routing/LoadTable.cpp
+++ b/Libraries/LibDecision/Routing/LoadTable.cpp
@@ -1,5 +1,6 @@
 #include <LibDecision/Routing/LoadTable.h>
 
+#include <LibDecision/Admission/RequestLimit.h>
 #include <LibDecision/Health/FaultFilter.h>
 
 #include <algorithm>
@@ -24,9 +25,30 @@
 
 }
 
-void LoadTable::started(const BackendRecord& record)
+void LoadTable::started(const BackendRecord& record, Instant now)
 {
-    ++loadOf(record).outstanding;
+    auto& load = loadOf(record);
+    ++load.outstanding;
+    if (load.limitInterval > Duration::zero())
+        load.limitedUntil = std::max(load.limitedUntil, now) + load.limitInterval;
+}
+
+void LoadTable::limited(const BackendRecord& record, const BackendCondition& condition, Reason reason, double randomShare, Instant now)
+{
+    constexpr int maximumLimitRefusals = 8;
+    if (condition.incarnation != record.incarnation)
+        return;
+    auto& load = loadOf(record);
+    if (!condition.requestLimit) {
+        load.limitInterval = {};
+        load.limitedUntil = {};
+        load.limitRefusals = 0;
+        return;
+    }
+    load.limitInterval = microseconds(1e6 / std::max(*condition.requestLimit, RequestLimit::minimumRate));
+    load.limitRefusals = std::clamp(load.limitRefusals + (reason == Reason::BackendLimited ? 1 : -1), 0, maximumLimitRefusals);
+    auto intervals = randomShare * (std::exp2(load.limitRefusals) - 1);
+    load.limitedUntil = now + condition.limitWait + microseconds(intervals * static_cast<double>(load.limitInterval.count()));
 }
 
 LoadTable::Load& LoadTable::loadOf(const BackendRecord& record)
@@ -53,7 +75,7 @@
     auto& load = loadOf(record);
     if (load.outstanding > 0)
         --load.outstanding;
-    if (attempt.result == AttemptResult::RefusedNotRun) {
+    if (attempt.result == AttemptResult::RefusedNotRun && attempt.reason != Reason::BackendLimited) {
         load.refusals = std::min(recentRefusals(load, now) + 1, maximumRefusals);
         load.refusedAt = now;
     }
@@ -105,11 +127,18 @@
     return std::max(usual, static_cast<double>(load->second.report.serviceTime.count()) / toleratedServiceTimeRatio);
 }
 
+Duration LoadTable::limitWait(const BackendRecord& record, Instant now) const
+{
+    auto load = m_loads.find(record.id);
+    bool isLimited = load != m_loads.end() && load->second.incarnation == record.incarnation && load->second.limitInterval > Duration::zero();
+    return isLimited ? std::max(Duration::zero(), load->second.limitedUntil - now) : Duration::zero();
+}
+
 Duration LoadTable::expectedWait(const BackendRecord& record, Instant now) const
 {
     auto requests = expectedRequests(record, now);
     auto queued = std::max(0.0, requests + 1 - record.slots);
-    return microseconds(serviceTimeOf(record) * queued / record.slots);
+    return std::max(limitWait(record, now), microseconds(serviceTimeOf(record) * queued / record.slots));
 }
 
 Duration LoadTable::expectedTime(const BackendRecord& record, Instant now) const
--- a/Libraries/LibDecision/Routing/LoadTable.h
+++ b/Libraries/LibDecision/Routing/LoadTable.h
@@ -11,11 +11,16 @@
 namespace Decision {
 
 // What one process knows about the load of backend servers: its own outstanding requests, which are exact, and the load
-// reports attached to answers and refusals, which become outdated.
+// reports attached to answers and refusals, which become outdated. A backend server that names a limit on requests takes
+// one now and then; the more often it refuses this process, the longer this process waits until it offers another, so
+// that the offers of the whole fleet stay in proportion to the limit.
 class LoadTable {
 public:
-    void started(const BackendRecord&);
+    void started(const BackendRecord&, Instant now);
     void finished(const BackendRecord&, const AttemptReport&, Instant now);
+    // Takes the state that a sidecar told with an answer or refusal. The random share, from 0 to 1, spreads the offers of
+    // processes that wait for the same limit.
+    void limited(const BackendRecord&, const BackendCondition&, Reason, double randomShare, Instant now);
     // Drops the load of an earlier incarnation, and all load if the backend server is gone.
     void changed(const BackendRecord&);
 
@@ -23,7 +28,9 @@
     double expectedRequests(const BackendRecord&, Instant now) const;
     // Estimated time that a request sent now takes there, including the time in the queue.
     Duration expectedTime(const BackendRecord&, Instant now) const;
-    // Estimated time that a request sent now waits for a slot.
+    // Time until this process should offer another request to a backend server that names a limit; zero without a limit.
+    Duration limitWait(const BackendRecord&, Instant now) const;
+    // Estimated time that a request sent now waits for a slot, or for the limit.
     Duration expectedWait(const BackendRecord&, Instant now) const;
     // Estimated time beyond that on an idle backend server: the wait for a slot, the slowdown by concurrent requests,
     // and a penalty for recent refusals.
@@ -49,6 +56,11 @@
         // Recent refusals, with exponential decay. A backend server that sheds load would otherwise look idle.
         double refusals { 0 };
         Instant refusedAt;
+        // Average time between the requests that a named limit lets through; zero without a limit.
+        Duration limitInterval { 0 };
+        Instant limitedUntil;
+        // Refusals for the limit, less the requests that it let through; not below zero.
+        int limitRefusals { 0 };
     };
     // Moving averages over a service's backend servers, used for those without a recent report.
     struct ServiceAverage {
--- a/Libraries/LibDecision/Routing/Router.h
+++ b/Libraries/LibDecision/Routing/Router.h
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <optional>
 #include <random>
 #include <span>
@@ -96,6 +97,10 @@
     // incarnation.
     void backendChanged(Turn&, const BackendRecord&);
 
+    // Time until the first of the service's backend servers that name a limit should be offered another request; zero if
+    // none names one.
+    Duration limitWait(const ServiceName&, Instant now) const;
+
     // The process's control endpoint; nullopt if the process is unknown or unreachable.
     std::optional<Endpoint> controlOf(const InstanceId&) const;
 
@@ -132,10 +137,11 @@
     RatedCandidate chooseBySampling(Turn&, const CandidateList&, const RouteRequest&);
     RatedCandidate chooseByComparison(Turn&, const CandidateList&, const RouteRequest&);
     bool isProbablyFaulty(const BackendRecord&, const RouteRequest&, Instant now) const;
-    // Returns true if the queue of the backend server is too long for the request to be answered in time.
+    // Returns true if the queue of the backend server is too long for the request to be answered in time, or its limit
+    // too low.
     bool isQueueTooLong(const BackendRecord&, const RouteRequest&, Instant now) const;
-    // Returns true if a backend server that is probably healthy refuses the request only for a lack of room.
-    bool hasHealthyButBusy(const CandidateList&, const RouteRequest&, Instant now) const;
+    // Returns the backend servers that are probably healthy and lack only room for the request.
+    std::vector<const BackendRecord*> healthyButBusy(const CandidateList&, const RouteRequest&, Instant now) const;
     // Returns true if an idempotent request should find out whether a probable fault is over. The sidecar refuses it if
     // another one just did.
     bool isTrialDue(const BackendRecord&, const RouteRequest&, Instant now) const;
@@ -167,9 +173,13 @@
     auto chosen = request.key ? chooseByKey(turn, candidates, request)
         : isCompared          ? chooseByComparison(turn, candidates, request)
                               : chooseBySampling(turn, candidates, request);
-    if (isCompared && !request.key && (!chosen.record || chosen.isLastResort) && hasHealthyButBusy(candidates, request, turn.now())) {
-        reason = Reason::BackendBusy;
-        return std::nullopt;
+    if (isCompared && !request.key && (!chosen.record || chosen.isLastResort)) {
+        auto busy = healthyButBusy(candidates, request, turn.now());
+        bool isLimited = std::ranges::all_of(busy, [&](const BackendRecord* record) { return m_loads.limitWait(*record, turn.now()) > request.longestWait; });
+        if (!busy.empty()) {
+            reason = isLimited ? Reason::BackendLimited : Reason::BackendBusy;
+            return std::nullopt;
+        }
     }
     if (!chosen.record)
         chosen = chooseFromAll(turn, candidates, request, Usability::Ejected);
@@ -190,19 +200,34 @@
 }
 
 template <MembershipView Members>
-void Router<Members>::attemptStarted(Turn&, const BackendId& backend)
+Duration Router<Members>::limitWait(const ServiceName& service, Instant now) const
+{
+    auto shortest = Duration::zero();
+    for (const auto* record : m_registry.backendsOf(service)) {
+        auto wait = m_loads.limitWait(*record, now);
+        if (wait > Duration::zero() && (shortest == Duration::zero() || wait < shortest))
+            shortest = wait;
+    }
+    return shortest;
+}
+
+template <MembershipView Members>
+void Router<Members>::attemptStarted(Turn& turn, const BackendId& backend)
 {
     auto record = m_registry.find(backend);
     if (record)
-        m_loads.started(*record);
+        m_loads.started(*record, turn.now());
 }
 
 template <MembershipView Members>
 void Router<Members>::attemptFinished(Turn& turn, const BackendId& backend, const AttemptReport& report)
 {
-    if (report.hasLoad && report.load.condition)
-        m_limits.learn(backend, *report.load.condition, turn.now());
+    const auto* condition = report.hasLoad && report.load.condition ? &*report.load.condition : nullptr;
+    if (condition)
+        m_limits.learn(backend, *condition, turn.now());
     auto record = m_registry.find(backend);
+    if (record && condition)
+        m_loads.limited(*record, *condition, report.reason, std::uniform_real_distribution<double>(0, 1)(turn.random()), turn.now());
     if (record)
         m_loads.finished(*record, report, turn.now());
 }
@@ -321,19 +346,23 @@
 }
 
 template <MembershipView Members>
-bool Router<Members>::hasHealthyButBusy(const CandidateList& candidates, const RouteRequest& request, Instant now) const
+std::vector<const BackendRecord*> Router<Members>::healthyButBusy(const CandidateList& candidates, const RouteRequest& request, Instant now) const
 {
-    return std::ranges::any_of(candidates.all(), [&](const BackendRecord* record) {
+    std::vector<const BackendRecord*> busy;
+    std::ranges::copy_if(candidates.all(), std::back_inserter(busy), [&](const BackendRecord* record) {
         bool hasRefused = std::ranges::find(request.refusedBy, record->id) != request.refusedBy.end();
         if ((!hasRefused && !isQueueTooLong(*record, request, now)) || isProbablyFaulty(*record, request, now))
             return false;
         return usability(*record, m_health.standing(record->id, now), request) <= (hasRefused ? Usability::Tried : Usability::Usable);
     });
+    return busy;
 }
 
 template <MembershipView Members>
 bool Router<Members>::isQueueTooLong(const BackendRecord& record, const RouteRequest& request, Instant now) const
 {
+    if (m_loads.limitWait(record, now) > request.longestWait)
+        return true;
     return !request.goesFirst && m_loads.expectedWait(record, now) > request.longestWait;
 }
 
@@ -406,7 +435,7 @@
         constexpr uint64_t shareSteps = 1024;
         if (static_cast<double>(rank % shareSteps) >= standing.share * shareSteps)
             continue;
-        if (m_loads.expectedRequests(*record, turn.now()) >= record->slots + queueLength)
+        if (m_loads.expectedRequests(*record, turn.now()) >= record->slots + queueLength || m_loads.limitWait(*record, turn.now()) > request.longestWait)
             continue;
         if (!best || rank > bestRank) {
             best = record;
--- a/Tests/LibDecision/Calls/CallRig.h
+++ b/Tests/LibDecision/Calls/CallRig.h
@@ -20,7 +20,7 @@
         auto isUntried = [&](const BackendId& id) { return std::ranges::find(request.excluded, id) == request.excluded.end(); };
         auto id = std::ranges::find_if(backends, isUntried);
         if (id == backends.end()) {
-            reason = Reason::NoBackend;
+            reason = allLimitedFor > Duration::zero() ? Reason::BackendLimited : Reason::NoBackend;
             return std::nullopt;
         }
         RouteChoice choice;
@@ -33,12 +33,15 @@
     }
     void attemptStarted(Turn&, const BackendId& backend) { ++outstanding[backend]; }
     void attemptFinished(Turn&, const BackendId& backend, const AttemptReport&) { --outstanding[backend]; }
+    Duration limitWait(const ServiceName&, Instant) const { return allLimitedFor; }
     std::optional<Endpoint> controlOf(const InstanceId&) const { return keeperControl; }
 
     std::vector<BackendId> backends { BackendId("a"), BackendId("b"), BackendId("c"), BackendId("d") };
     std::optional<Endpoint> keeperControl { Endpoint { "127.0.0.1", 9001 } };
     std::map<BackendId, int> outstanding;
     bool isFull { false };
+    // How long the limits of all backend servers let no request through.
+    Duration allLimitedFor { 0 };
 };
 
 // Counts the attempts that were reported to health checking.
--- a/Tests/LibDecision/Calls/TestCallTable.cpp
+++ b/Tests/LibDecision/Calls/TestCallTable.cpp
@@ -457,3 +457,17 @@
     auto attempts = attemptsOf(2000, failed(AttemptResult::RefusedNotRun, Reason::QueueFull));
     EXPECT_LE(attempts, 2000 * (1 + RetryBudget::rerouteShare) + 21 * RetryBudget::reroutesPerSecond);
 }
+
+TEST(CallTable, RejectsAtOnceAndTellsWhenThereIsRoomIfAllBackendServersAreLimited)
+{
+    Profile profile;
+    profile.capacity.callerWait = 5s;
+    CallRig rig(profile);
+    rig.router.backends.clear();
+    rig.router.allLimitedFor = 700ms;
+    auto refusals = effectsOf<RefuseCall>(rig.arrive(CallRig::arrivalOf(1)));
+    ASSERT_EQ(refusals.size(), 1u);
+    EXPECT_EQ(nameOf(refusals.front().outcome), nameOf(Outcome::NotRun));
+    EXPECT_EQ(nameOf(refusals.front().reason), nameOf(Reason::BackendLimited));
+    EXPECT_EQ(refusals.front().retryAfter, 700ms);
+}
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -498,6 +498,7 @@
 
 void NodeFleet::carryOut(size_t node, const RefuseCall& effect)
 {
+    m_requests[m_requestByCall.at({ node, effect.call })].retryAfter = effect.retryAfter;
     recordOutcome(node, effect.call, effect.outcome == Outcome::NotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown, effect.reason, {});
 }
 
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -71,6 +71,7 @@
     // The request whose answer the caller got; empty if there was no answer.
     RequestId answerOf;
     std::optional<Instant> outcomeAt;
+    Duration retryAfter { 0 };
     bool isIngressLost { false };
     bool isCallerGone { false };
     uint32_t arrivals { 0 };
--- a/Tests/LibDecision/Routing/TestRouter.cpp
+++ b/Tests/LibDecision/Routing/TestRouter.cpp
@@ -155,3 +155,66 @@
     ASSERT_EQ(fixture.service.state(3), StandingState::Ejected);
     EXPECT_FALSE(fixture.chooseMany(500).contains(ServiceFixture::id(3)));
 }
+
+namespace {
+
+// Makes the router believe that the backend server takes this many requests a second, and another one after the wait.
+void tellLimit(RouterFixture& fixture, int number, double limit, Duration wait, Reason reason = Reason::None)
+{
+    AttemptReport report;
+    report.result = reason == Reason::None ? AttemptResult::Answered : AttemptResult::RefusedNotRun;
+    report.status = 200;
+    report.reason = reason;
+    report.hasLoad = true;
+    report.load.slots = 3;
+    report.load.condition = BackendCondition { fixture.service.registry.find(ServiceFixture::id(number))->incarnation, limit, wait, true };
+    fixture.service.act([&](Turn& turn) { fixture.router.attemptFinished(turn, ServiceFixture::id(number), report); });
+}
+
+Profile comparingProfile()
+{
+    Profile profile;
+    profile.health.faultBound = 0.25;
+    return profile;
+}
+
+}
+
+TEST(Router, OffersNothingToALimitedBackendServerUntilItTakesAnotherRequest)
+{
+    RouterFixture fixture(3, comparingProfile());
+    fixture.request.longestWait = 100ms;
+    tellLimit(fixture, 0, 1, 1s);
+    EXPECT_FALSE(fixture.chooseMany(100).contains(ServiceFixture::id(0)));
+    fixture.service.advance(1s);
+    EXPECT_TRUE(fixture.chooseMany(100).contains(ServiceFixture::id(0)));
+}
+
+TEST(Router, SaysThatAllBackendServersAreLimitedAndWhenThereIsRoom)
+{
+    RouterFixture fixture(2, comparingProfile());
+    fixture.request.longestWait = 100ms;
+    tellLimit(fixture, 0, 1, 800ms);
+    tellLimit(fixture, 1, 1, 600ms);
+    EXPECT_FALSE(fixture.choose());
+    EXPECT_EQ(nameOf(fixture.reason), nameOf(Reason::BackendLimited));
+    fixture.service.act([&](Turn& turn) { EXPECT_EQ(fixture.router.limitWait(fixture.request.service, turn.now()), 600ms); });
+}
+
+TEST(Router, CarriesTheLimitThatItWasToldUntilASidecarHearsThatThereIsNone)
+{
+    RouterFixture fixture(1, comparingProfile());
+    tellLimit(fixture, 0, 5, 0s);
+    EXPECT_EQ(fixture.choose()->knownLimit, 5);
+    AttemptReport report;
+    report.hasLoad = true;
+    report.load.slots = 3;
+    auto incarnation = fixture.service.registry.find(ServiceFixture::id(0))->incarnation;
+    // A sidecar that has just started hasn't heard anything.
+    report.load.condition = BackendCondition { incarnation, std::nullopt, 0s, false };
+    fixture.service.act([&](Turn& turn) { fixture.router.attemptFinished(turn, ServiceFixture::id(0), report); });
+    EXPECT_EQ(fixture.choose()->knownLimit, 5);
+    report.load.condition->isHeard = true;
+    fixture.service.act([&](Turn& turn) { fixture.router.attemptFinished(turn, ServiceFixture::id(0), report); });
+    EXPECT_FALSE(fixture.choose()->knownLimit);
+}
