LibDecision: Send nothing to a backend server that says in an answer that it leaves

What callers would have seen: new requests reached a backend server that was about to exit, and the last ones were cut.

Cause, the same as for limits: what a backend server says of itself in an answer ended at the edge. Now the sidecar drains it at once, before the answer is passed on, and tells the ingress, which never chooses that incarnation again. A sidecar process that starts later may hear an announcement from before; so records say whether the incarnation leaves or only its sidecar, those that say so supersede the others of that incarnation, and whoever knows tells a later sidecar again. A process that is stopped doesn't make its backend server leave.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -116,6 +116,7 @@
     archive.field("slots", value.slots);
     archive.field("weight", value.weight);
     archive.field("phase", value.phase);
+    archive.optionalField("isLeaving", value.isLeaving);
 }
 
 template <typename Archive>
@@ -286,6 +287,7 @@
     archive.optionalField("requestLimit", value.requestLimit);
     archive.optionalField("limitWait", value.limitWait);
     archive.optionalField("isHeard", value.isHeard);
+    archive.optionalField("isLeaving", value.isLeaving);
 }
 
 template <typename Archive>
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -785,6 +785,8 @@
     auto& limit = ensureLimit(backend, incarnation);
     if (limit.hear(notice.requestLimit, sentAt, turn.now()))
         explainLimit(turn, backend, "its answer", limit);
+    if (notice.isLeaving)
+        m_backends.retire(turn, backend, incarnation, "its answer says that it leaves");
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -842,9 +844,10 @@
 {
     const auto& backend = local.announcement.id;
     const auto* limit = limitOf(backend, local.announcement.incarnation);
-    if (limit && limit->isHeard() && !limit->wasEverNamed())
+    if (limit && limit->isHeard() && !limit->wasEverNamed() && !local.isLeavingForGood)
         return std::nullopt;
     BackendCondition condition;
+    condition.isLeaving = local.isLeavingForGood;
     condition.incarnation = local.announcement.incarnation;
     condition.isHeard = limit && limit->isHeard();
     if (limit && limit->value()) {
--- a/Libraries/LibDecision/Attempt.h
+++ b/Libraries/LibDecision/Attempt.h
@@ -58,6 +58,8 @@
     Duration limitWait { 0 };
     // Whether an answer has told the sidecar if there is a limit.
     bool isHeard { false };
+    // Whether this incarnation leaves for good.
+    bool isLeaving { false };
 
     bool operator==(const BackendCondition&) const = default;
 };
@@ -75,7 +77,8 @@
     double faultProbability { 0 };
     // Whether the sidecar would admit an idempotent request in spite of a probable fault, to find out whether it is over.
     bool isTrialDue { false };
-    // Nullopt if the sidecar has heard that there is no limit and knows of nobody that believes in one.
+    // Nullopt if the backend server stays, and the sidecar has heard that there is no limit and knows of nobody that
+    // believes in one.
     std::optional<BackendCondition> condition;
 
     bool operator==(const LoadReport&) const = default;
--- a/Libraries/LibDecision/Membership/RecordKey.cpp
+++ b/Libraries/LibDecision/Membership/RecordKey.cpp
@@ -86,6 +86,7 @@
     {
         hasher.add(record.id).add(record.service).add(record.profile).add(record.sidecar).add(record.sidecarIncarnation);
         hasher.add(record.incarnation).add(record.version).add(uint64_t { record.slots }).add(record.weight).add(record.phase);
+        hasher.add(uint64_t { record.isLeaving });
     }
 
     void addFields(FieldHasher& hasher, const HealthReport& report)
--- a/Libraries/LibDecision/Message.h
+++ b/Libraries/LibDecision/Message.h
@@ -56,7 +56,8 @@
 };
 
 // The fleet's record of one backend server. Only the backend server's sidecar writes it. Within one sidecar
-// incarnation, a higher version supersedes; between sidecars, a higher backend incarnation does.
+// incarnation, a higher version supersedes; between sidecars, a higher backend incarnation does. Within one backend
+// incarnation, a record that says that it leaves supersedes those that don't.
 struct BackendRecord {
     BackendId id;
     ServiceName service;
@@ -70,6 +71,8 @@
     uint32_t slots { 1 };
     double weight { 1.0 };
     BackendPhase phase { BackendPhase::Serving };
+    // True if this incarnation leaves for good, rather than its sidecar process.
+    bool isLeaving { false };
 
     bool operator==(const BackendRecord&) const = default;
 };
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -190,6 +190,10 @@
 void NodeState::receive(Turn& turn, const BackendAnnounced& announced)
 {
     m_localBackends.announce(turn, announced.announcement);
+    // This incarnation may have told a predecessor of this process that it leaves.
+    const auto* known = m_registry.find(announced.announcement.id);
+    if (known && known->isLeaving)
+        m_localBackends.retire(turn, known->id, known->incarnation, "its record says that it leaves");
     m_health.setProbeEndpoint(announced.announcement.id, announced.announcement.endpoint);
 }
 
@@ -248,14 +252,26 @@
 
 void NodeState::applyRecord(Turn& turn, const BackendRecord& record)
 {
-    if (!m_registry.apply(turn, record))
+    if (!m_registry.apply(turn, record)) {
+        correctSidecar(turn, record);
         return;
+    }
+    if (record.isLeaving)
+        m_localBackends.retire(turn, record.id, record.incarnation, "sidecar " + record.sidecar.value() + " heard that it leaves");
     if (record.sidecar != m_membership.self().instance)
         m_localBackends.supersede(turn, record);
     m_health.backendChanged(turn, record);
     m_router.backendChanged(turn, record);
 }
 
+void NodeState::correctSidecar(Turn& turn, const BackendRecord& record)
+{
+    const auto* known = m_registry.find(record.id);
+    bool isUnaware = known && known->isLeaving && !record.isLeaving && known->incarnation == record.incarnation;
+    if (isUnaware && known->sidecarIncarnation < record.sidecarIncarnation)
+        turn.spread(*known, Urgency::Immediate);
+}
+
 void NodeState::applyRecord(Turn& turn, const HealthReport& report) { m_health.apply(turn, report); }
 void NodeState::applyRecord(Turn& turn, const CrashReport& report) { m_crashGuard.apply(turn, report); }
 void NodeState::applyRecord(Turn& turn, const ClaimHolder& holder) { m_claims.apply(turn, holder); }
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -72,6 +72,8 @@
     // Apply a record that was received in a rumor or produced by this process.
     void applyRecord(Turn&, const MemberRecord&);
     void applyRecord(Turn&, const BackendRecord&);
+    // Tells the fleet again that a backend server leaves, after a later process beside it published that it serves.
+    void correctSidecar(Turn&, const BackendRecord&);
     void applyRecord(Turn&, const HealthReport&);
     void applyRecord(Turn&, const CrashReport&);
     void applyRecord(Turn&, const ClaimHolder&);
--- a/Libraries/LibDecision/Registry/BackendRegistry.cpp
+++ b/Libraries/LibDecision/Registry/BackendRegistry.cpp
@@ -10,11 +10,12 @@
     constexpr Duration tombstoneLifetime = 1h;
     constexpr size_t maximumTombstones = 4096;
 
-    // The backend server's own incarnation fences its sidecars. If two sidecars announce the same incarnation, the one
+    // The backend server's own incarnation fences its sidecars. One that leaves never serves again, although a later
+    // sidecar process may hear an announcement from before. If two sidecars announce the same incarnation, the one
     // that started later wins; the remaining fields only make the order total.
     auto orderingKeyOf(const BackendRecord& record)
     {
-        return std::tie(record.incarnation, record.sidecarIncarnation, record.sidecar, record.version, record.phase, record.service,
+        return std::tie(record.incarnation, record.isLeaving, record.sidecarIncarnation, record.sidecar, record.version, record.phase, record.service,
             record.profile, record.slots, record.weight);
     }
 
--- a/Libraries/LibDecision/Registry/LocalBackends.cpp
+++ b/Libraries/LibDecision/Registry/LocalBackends.cpp
@@ -120,6 +120,7 @@
         if (!isPredecessor)
             continue;
         known.isLeaving = true;
+        known.isLeavingForGood = true;
         transition(turn, known, BackendLifecycleEvent::Withdrawn, "backend server " + announcement.id.value() + " was announced at its endpoint");
         scheduleTimer(known, turn.now());
     }
@@ -130,17 +131,39 @@
     auto entry = m_backends.find(id);
     if (entry == m_backends.end() || entry->second.phase == BackendPhase::Gone)
         return false;
-    entry->second.isLeaving = true;
-    transition(turn, entry->second, BackendLifecycleEvent::DrainRequested, "drain requested");
-    scheduleTimer(entry->second, turn.now());
+    retire(turn, id, entry->second.announcement.incarnation, "drain requested");
     return true;
 }
 
+void LocalBackends::retire(Turn& turn, const BackendId& id, Incarnation incarnation, const std::string& evidence)
+{
+    auto entry = m_backends.find(id);
+    if (entry == m_backends.end() || entry->second.announcement.incarnation != incarnation)
+        return;
+    auto& backend = entry->second;
+    bool isNews = !std::exchange(backend.isLeavingForGood, true);
+    auto phase = backend.phase;
+    startDrain(turn, backend, evidence);
+    // The fleet may know it as one whose sidecar leaves.
+    if (isNews && backend.phase == phase)
+        publish(turn, backend);
+}
+
+void LocalBackends::startDrain(Turn& turn, LocalBackend& backend, const std::string& evidence)
+{
+    backend.isLeaving = true;
+    transition(turn, backend, BackendLifecycleEvent::DrainRequested, evidence);
+    scheduleTimer(backend, turn.now());
+}
+
 void LocalBackends::drainAll(Turn& turn)
 {
     m_isLeaving = true;
-    for (const auto* backend : all())
-        drain(turn, backend->announcement.id);
+    for (const auto* known : all()) {
+        auto& backend = m_backends.at(known->announcement.id);
+        if (backend.phase != BackendPhase::Gone)
+            startDrain(turn, backend, "the process leaves");
+    }
 }
 
 void LocalBackends::drained(Turn& turn, const BackendId& id)
@@ -202,6 +225,7 @@
     backend.announcement = announcement;
     backend.announcedAt = turn.now();
     backend.isLeaving = false;
+    backend.isLeavingForGood = false;
     backend.hasServed = false;
     backend.phase = m_chart.initial();
     m_drainDeadlines.erase(announcement.id);
@@ -222,11 +246,14 @@
             transition(turn, backend, BackendLifecycleEvent::Ready, "announced as ready");
         return;
     case BackendPhase::Draining:
-        backend.isLeaving = true;
-        transition(turn, backend, BackendLifecycleEvent::DrainRequested, "announced as draining");
+        if (backend.announcement.phase == BackendPhase::Draining)
+            retire(turn, backend.announcement.id, backend.announcement.incarnation, "announced as draining");
+        else
+            startDrain(turn, backend, "the process leaves");
         return;
     case BackendPhase::Gone:
         backend.isLeaving = true;
+        backend.isLeavingForGood = true;
         transition(turn, backend, BackendLifecycleEvent::Withdrawn, "announced as gone");
         return;
     }
@@ -264,6 +291,7 @@
     record.slots = announcement.slots;
     record.weight = announcement.weight;
     record.phase = backend.phase;
+    record.isLeaving = backend.isLeavingForGood;
     turn.spread(record, Urgency::Immediate);
 }
 
--- a/Libraries/LibDecision/Registry/LocalBackends.h
+++ b/Libraries/LibDecision/Registry/LocalBackends.h
@@ -24,6 +24,8 @@
     // True once a drain was requested or the backend server announced that it leaves. This incarnation then never
     // serves again; a higher one may.
     bool isLeaving { false };
+    // True if it is this incarnation that leaves, rather than this process.
+    bool isLeavingForGood { false };
     // True once this incarnation has served. It is treated as warm from then on, also after its announcement lapsed.
     bool hasServed { false };
 };
@@ -50,6 +52,8 @@
     void announce(Turn&, const BackendAnnouncement&);
     // Starts to drain one backend server. Returns false if it is unknown or gone.
     bool drain(Turn&, const BackendId&);
+    // Starts to drain the backend server if this incarnation is known here: it was heard to leave for good.
+    void retire(Turn&, const BackendId&, Incarnation, const std::string& evidence);
     // Starts to drain all backend servers because this process leaves. Later announcements of unknown ones are ignored.
     void drainAll(Turn&);
     // Must be called when a draining backend server has no requests left; its phase becomes Gone.
@@ -71,6 +75,7 @@
     bool hasSuccessor(const BackendAnnouncement&) const;
     // Ends the backend servers that this one has replaced at its endpoint.
     void endPredecessors(Turn&, const BackendAnnouncement&);
+    void startDrain(Turn&, LocalBackend&, const std::string& evidence);
     void extendAnnouncement(LocalBackend&, Instant now);
     void expireOverdue(Turn&, LocalBackend&);
     void restart(Turn&, LocalBackend&, const BackendAnnouncement&);
--- a/Libraries/LibDecision/Routing/Router.h
+++ b/Libraries/LibDecision/Routing/Router.h
@@ -7,7 +7,7 @@
 #include <LibDecision/Registry/BackendRegistry.h>
 #include <LibDecision/Rendezvous.h>
 #include <LibDecision/Routing/CandidateList.h>
-#include <LibDecision/Routing/KnownLimits.h>
+#include <LibDecision/Routing/KnownConditions.h>
 #include <LibDecision/Routing/LoadTable.h>
 #include <LibDecision/Turn.h>
 
@@ -156,7 +156,7 @@
     const Health& m_health;
     const ProfileRegistry& m_profiles;
     LoadTable m_loads;
-    KnownLimits m_limits;
+    KnownConditions m_conditions;
     std::unordered_map<ServiceName, CandidateList> m_candidates;
 };
 
@@ -224,7 +224,7 @@
 {
     const auto* condition = report.hasLoad && report.load.condition ? &*report.load.condition : nullptr;
     if (condition)
-        m_limits.learn(backend, *condition, turn.now());
+        m_conditions.learn(backend, *condition, turn.now());
     auto record = m_registry.find(backend);
     if (record && condition)
         m_loads.limited(*record, *condition, report.reason, std::uniform_real_distribution<double>(0, 1)(turn.random()), turn.now());
@@ -266,7 +266,7 @@
 template <MembershipView Members>
 typename Router<Members>::Usability Router<Members>::usability(const BackendRecord& record, const Standing& standing, const RouteRequest& request) const
 {
-    if (record.phase == BackendPhase::Draining || record.phase == BackendPhase::Gone)
+    if (record.phase == BackendPhase::Draining || record.phase == BackendPhase::Gone || m_conditions.isLeaving(record.id, record.incarnation))
         return Usability::Unusable;
     if (!m_members.find(record.sidecar) || !m_members.isReachable(record.sidecar))
         return Usability::Unusable;
@@ -475,7 +475,7 @@
     auto member = m_members.find(record.sidecar);
     RouteChoice choice { record, record.sidecar, member ? member->control : Endpoint {}, evidence.str() };
     choice.isLastResort = rated.isLastResort;
-    choice.knownLimit = m_limits.find(record.id, record.incarnation);
+    choice.knownLimit = m_conditions.limitOf(record.id, record.incarnation);
     choice.isFull = m_loads.expectedRequests(record, turn.now()) + 1 > record.slots;
     return choice;
 }
--- a/Tests/LibControl/MessageGenerators.h
+++ b/Tests/LibControl/MessageGenerators.h
@@ -46,7 +46,7 @@
 inline BackendRecord anyBackend()
 {
     return { *anyName<BackendId>(), *anyName<ServiceName>(), *anyName<ProfileName>(), *anyName<InstanceId>(), *anyNumber<Incarnation>(),
-        *anyNumber<Incarnation>(), *rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint32_t>(), *rc::gen::inRange(0, 1000) / 7.0, anyEnumValue<BackendPhase>() };
+        *anyNumber<Incarnation>(), *rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint32_t>(), *rc::gen::inRange(0, 1000) / 7.0, anyEnumValue<BackendPhase>(), *rc::gen::arbitrary<bool>() };
 }
 
 inline Rumor anyRumor()
--- a/Tests/LibDecision/Admission/TestSidecarAdmission.cpp
+++ b/Tests/LibDecision/Admission/TestSidecarAdmission.cpp
@@ -407,3 +407,18 @@
     }
     EXPECT_EQ(rig.crashGuard.size(), 0u);
 }
+
+TEST_F(SidecarAdmissionTest, ABackendServerThatSaysInAnAnswerThatItLeavesGetsNoFurtherRequest)
+{
+    rig.arrive(AdmissionRig::arrivalOf(1, "a"));
+    rig.arrive(AdmissionRig::arrivalOf(2, "a"));
+    rig.arrive(AdmissionRig::arrivalOf(3, "a"));
+    auto report = answered();
+    report.notice = BackendNotice { std::nullopt, true };
+    auto effects = rig.finish(1, report);
+    ASSERT_EQ(effectsOf<AnswerSidecarCall>(effects).size(), 1u);
+    EXPECT_TRUE(effectsOf<AnswerSidecarCall>(effects).front().load.condition->isLeaving);
+    expectRefusal(effects, Outcome::NotRun, Reason::BackendDraining);
+    expectRefusal(rig.arrive(AdmissionRig::arrivalOf(4, "a")), Outcome::NotRun, Reason::BackendDraining);
+    EXPECT_EQ(effectsOf<AnswerSidecarCall>(rig.finish(2, answered())).size(), 1u);
+}
--- a/Tests/LibDecision/Node/ArbitraryFaults.h
+++ b/Tests/LibDecision/Node/ArbitraryFaults.h
@@ -8,7 +8,7 @@
 
 inline std::vector<LoadFault> arbitraryLoadFaults()
 {
-    constexpr int lastFaultKind = static_cast<int>(LoadFaultKind::NamedLimit);
+    constexpr int lastFaultKind = static_cast<int>(LoadFaultKind::SaysItLeaves);
     std::vector<LoadFault> faults(*rc::gen::inRange<size_t>(1, 8));
     for (auto& fault : faults) {
         fault.kind = static_cast<LoadFaultKind>(*rc::gen::inRange(0, lastFaultKind + 1));
--- a/Tests/LibDecision/Node/FaultyLoad.cpp
+++ b/Tests/LibDecision/Node/FaultyLoad.cpp
@@ -76,7 +76,8 @@
 void FaultyLoad::run()
 {
     m_fleet.runFor(warmUp);
-    m_loadEnds = m_fleet.fleet().now() + loadTime;
+    m_loadBegan = m_fleet.fleet().now();
+    m_loadEnds = m_loadBegan + loadTime;
     for (const auto& fault : m_faults)
         m_fleet.fleet().callLater(fault.at, [this, fault] { startFault(fault); });
     for (size_t service = 0; service < serviceCount; ++service)
@@ -135,6 +136,9 @@
     case LoadFaultKind::NamedLimit:
         nameLimits(fault);
         break;
+    case LoadFaultKind::SaysItLeaves:
+        faultsOf(node).notice.isLeaving = true;
+        break;
     }
 }
 
@@ -151,8 +155,8 @@
         if (serviceOf(backend) != service || isSpared)
             continue;
         auto limit = 0.8 * static_cast<double>(fault.second % 9);
-        faultsOf(backend).namedLimit = limit;
-        m_fleet.fleet().callLater(fault.length, [this, backend] { faultsOf(backend).namedLimit.reset(); });
+        faultsOf(backend).notice.requestLimit = limit;
+        m_fleet.fleet().callLater(fault.length, [this, backend] { faultsOf(backend).notice.requestLimit.reset(); });
         m_namedLimits.push_back({ backend, limit, now, now + fault.length });
     }
 }
@@ -206,8 +210,8 @@
     // A process counts once it has passed on an answer that named the limit this long ago.
     constexpr Duration lag = 500ms;
     std::map<std::pair<size_t, uint32_t>, Instant> toldAt;
-    for (const auto& told : m_fleet.toldLimits()) {
-        if (told.backend == limit.backend && told.at >= limit.from)
+    for (const auto& told : m_fleet.passedOnNotices()) {
+        if (told.backend == limit.backend && told.notice.requestLimit && told.at >= limit.from)
             toldAt.try_emplace({ told.ingress, told.ingressGeneration }, told.at);
     }
     std::vector<Instant> arrivals;
@@ -238,6 +242,16 @@
     return worst;
 }
 
+size_t FaultyLoad::arrivalsAfterLeaving() const
+{
+    return static_cast<size_t>(std::ranges::count_if(m_fleet.arrivals(), [this](const BackendArrival& arrival) {
+        return std::ranges::any_of(m_fleet.passedOnNotices(), [&](const PassedOnNotice& told) {
+            return told.notice.isLeaving && told.backend == arrival.backend && told.ingress == arrival.ingress
+                && told.ingressGeneration == arrival.ingressGeneration && told.at < arrival.sentAt;
+        });
+    }));
+}
+
 double FaultyLoad::largestLimitExcess() const
 {
     auto worst = -std::numeric_limits<double>::infinity();
--- a/Tests/LibDecision/Node/FaultyLoad.h
+++ b/Tests/LibDecision/Node/FaultyLoad.h
@@ -22,6 +22,8 @@
     Burst,
     // Backend servers of a service name a limit on requests in their answers; ignored while some of them do already.
     NamedLimit,
+    // A backend server says in its answers that it leaves, from then on, and goes on announcing itself as serving.
+    SaysItLeaves,
 };
 
 struct LoadFault {
@@ -54,7 +56,11 @@
     // How far the worst window of any backend server is above what its named limit allows; negative if it is below.
     double largestLimitExcess() const;
 
+    // Requests that reached a backend server although their process had passed on, before they were sent, that it leaves.
+    size_t arrivalsAfterLeaving() const;
+
     const NodeFleet& fleet() const { return m_fleet; }
+    Instant beganAt() const { return m_loadBegan; }
 
 private:
     void startFault(const LoadFault&);
@@ -81,6 +87,7 @@
 
     std::vector<NamedLimit> m_namedLimits;
     double m_burst { 1 };
+    Instant m_loadBegan;
     Instant m_loadEnds;
 };
 
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -305,9 +305,9 @@
 {
     SidecarKey key { node, effect.call.value() };
     auto forwarded = m_forwardedCalls.find(key);
-    auto limiting = m_limitingRuns.extract(key);
-    if (limiting && forwarded != m_forwardedCalls.end())
-        m_limitingAnswers[{ forwarded->second.call, forwarded->second.attempt }] = limiting.mapped();
+    auto notice = m_runNotices.extract(key);
+    if (notice && forwarded != m_forwardedCalls.end())
+        m_attemptNotices[{ forwarded->second.call, forwarded->second.attempt }] = notice.mapped();
     finishForwardedCall(node, effect.call, { .result = AttemptResult::Answered, .status = 200, .serviceTime = effect.serviceTime, .hasLoad = true, .load = effect.load },
         m_runAnswers[{ node, effect.call.value() }]);
 }
@@ -407,7 +407,7 @@
     auto& request = m_requests[m_requestById.at(run.request.id)];
     run.isRepeat = request.arrivals > 0 || request.isCallOfRepeat;
     ++request.arrivals;
-    m_arrivals.push_back({ backendService, run.backend, request.ingress, m_generations[request.ingress], m_fleet.now(), run.isRepeat });
+    m_arrivals.push_back({ backendService, run.backend, request.ingress, m_generations[request.ingress], request.sentAt, m_fleet.now(), run.isRepeat });
 }
 
 void NodeFleet::makeCall(SidecarKey key, const FakeBackend& backend)
@@ -435,11 +435,11 @@
         --backend.running;
     RunReport report { result, status, reason, 20ms };
     if (result == AttemptResult::Answered || result == AttemptResult::RefusedNotRun)
-        report.notice = BackendNotice { backend.simulatedFaults.namedLimit };
+        report.notice = backend.simulatedFaults.notice;
     if (result == AttemptResult::Answered)
         m_runAnswers[key] = run->second.request.id;
-    if (result == AttemptResult::Answered && backend.simulatedFaults.namedLimit)
-        m_limitingRuns[key] = run->second.backend;
+    if (result == AttemptResult::Answered && backend.simulatedFaults.notice != BackendNotice {})
+        m_runNotices[key] = { run->second.backend, backend.simulatedFaults.notice };
     if (!run->second.isCancelled && m_generations[key.first] == run->second.generation)
         m_fleet.deliver(key.first, RunFinished { SidecarCallId(key.second), report });
     m_runs.erase(key);
@@ -490,9 +490,9 @@
 
 void NodeFleet::carryOut(size_t node, const AnswerCall& effect)
 {
-    auto limiting = m_limitingAnswers.find({ effect.call, effect.attempt });
-    if (limiting != m_limitingAnswers.end())
-        m_toldLimits.push_back({ limiting->second, node, m_generations[node], m_fleet.now() });
+    auto notice = m_attemptNotices.find({ effect.call, effect.attempt });
+    if (notice != m_attemptNotices.end())
+        m_passedOnNotices.push_back({ notice->second.backend, node, m_generations[node], m_fleet.now(), notice->second.said });
     recordOutcome(node, effect.call, CallerOutcome::Answered, Reason::None, m_attemptAnswers[{ effect.call, effect.attempt }]);
 }
 
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -23,8 +23,8 @@
     // Refused as not run: because it is full, or as meant for another backend server.
     double shedShare { 0 };
     double misdirectedShare { 0 };
-    // Requests a second that the backend server names in its answers.
-    std::optional<double> namedLimit;
+    // What the backend server says of its own state in its answers.
+    BackendNotice notice;
     // A request crashes the backend server if the low half of its fingerprint has this value; 0 disables crashes.
     uint64_t crashFingerprint { 0 };
 };
@@ -87,17 +87,20 @@
     size_t backend { 0 };
     size_t ingress { 0 };
     uint32_t ingressGeneration { 0 };
+    // When its caller sent the request.
+    Instant sentAt;
     Instant at;
     // Not the request's first arrival, or made by such a run.
     bool isRepeat { false };
 };
 
-// A process passed on an answer that named a limit.
-struct ToldLimit {
+// A process passed on an answer in which a backend server said something of its own state.
+struct PassedOnNotice {
     size_t backend { 0 };
     size_t ingress { 0 };
     uint32_t ingressGeneration { 0 };
     Instant at;
+    BackendNotice notice;
 };
 
 struct NodeFleetOptions {
@@ -136,7 +139,7 @@
     std::vector<FakeBackend>& backends() { return m_backends; }
     const std::vector<CallerRequest>& requests() const { return m_requests; }
     const std::vector<BackendArrival>& arrivals() const { return m_arrivals; }
-    const std::vector<ToldLimit>& toldLimits() const { return m_toldLimits; }
+    const std::vector<PassedOnNotice>& passedOnNotices() const { return m_passedOnNotices; }
     // Number of runs by "SERVICE/KEY", for requests with an idempotency key.
     const std::map<std::string, uint32_t>& runsByKey() const { return m_runsByKey; }
     const std::map<DecisionKind, size_t>& decisions() const { return m_decisions; }
@@ -232,10 +235,14 @@
     std::map<SidecarKey, RequestId> m_keptAnswers;
     std::map<RequestId, size_t> m_requestById;
     std::vector<BackendArrival> m_arrivals;
-    std::vector<ToldLimit> m_toldLimits;
-    // The backend servers that named limits in the answers of these runs and attempts.
-    std::map<SidecarKey, size_t> m_limitingRuns;
-    std::map<std::pair<CallId, AttemptId>, size_t> m_limitingAnswers;
+    struct Notice {
+        size_t backend { 0 };
+        BackendNotice said;
+    };
+    std::vector<PassedOnNotice> m_passedOnNotices;
+    // What backend servers said in the answers of these runs and attempts.
+    std::map<SidecarKey, Notice> m_runNotices;
+    std::map<std::pair<CallId, AttemptId>, Notice> m_attemptNotices;
     std::map<std::string, uint32_t> m_runsByKey;
     std::map<DecisionKind, size_t> m_decisions;
     std::set<size_t> m_left;
--- a/Tests/LibDecision/Node/TestLimitLoad.cpp
+++ b/Tests/LibDecision/Node/TestLimitLoad.cpp
@@ -32,7 +32,7 @@
     void run()
     {
         for (auto& backend : m_fleet.backends())
-            backend.simulatedFaults.namedLimit = limit;
+            backend.simulatedFaults.notice.requestLimit = limit;
         m_ends = m_fleet.fleet().now() + 3s + measured;
         sendNext("urgent");
         sendNext("later");
--- a/Tests/LibDecision/Registry/TestLocalBackends.cpp
+++ b/Tests/LibDecision/Registry/TestLocalBackends.cpp
@@ -270,3 +270,27 @@
     EXPECT_EQ(fixture.backends.find(BackendId("a"))->phase, BackendPhase::Serving);
     EXPECT_EQ(fixture.backends.find(BackendId("b"))->phase, BackendPhase::Serving);
 }
+
+// A process that is restarted beside its backend server leaves; the backend server stays.
+TEST(LocalBackends, RecordsSayWhetherTheBackendServerLeavesOrOnlyItsSidecar)
+{
+    LocalBackendsFixture fixture;
+    fixture.announce(announcementOf(1));
+    fixture.turn([&](Turn& step) { fixture.backends.drainAll(step); });
+    EXPECT_EQ(fixture.records.back().phase, BackendPhase::Draining);
+    EXPECT_FALSE(fixture.records.back().isLeaving);
+    fixture.turn([&](Turn& step) { fixture.backends.retire(step, BackendId("a"), Incarnation(1), "its answer"); });
+    EXPECT_TRUE(fixture.records.back().isLeaving);
+    fixture.announce(announcementOf(2));
+    EXPECT_FALSE(fixture.records.back().isLeaving);
+    fixture.announce(announcementOf(2, BackendPhase::Draining));
+    EXPECT_TRUE(fixture.records.back().isLeaving);
+}
+
+TEST(LocalBackends, AnotherIncarnationIsNotRetired)
+{
+    LocalBackendsFixture fixture;
+    fixture.announce(announcementOf(2));
+    fixture.turn([&](Turn& step) { fixture.backends.retire(step, BackendId("a"), Incarnation(1), "its answer"); });
+    EXPECT_EQ(fixture.backends.find(BackendId("a"))->phase, BackendPhase::Serving);
+}
--- a/Tests/LibDecision/Routing/TestRouter.cpp
+++ b/Tests/LibDecision/Routing/TestRouter.cpp
@@ -218,3 +218,17 @@
     fixture.service.act([&](Turn& turn) { fixture.router.attemptFinished(turn, ServiceFixture::id(0), report); });
     EXPECT_FALSE(fixture.choose()->knownLimit);
 }
+
+// A later process beside it may have heard only an old announcement.
+TEST(Router, NeverChoosesAnIncarnationThatWasToldToLeave)
+{
+    RouterFixture fixture(1);
+    auto incarnation = fixture.service.registry.find(ServiceFixture::id(0))->incarnation;
+    AttemptReport report;
+    report.hasLoad = true;
+    report.load.slots = 3;
+    report.load.condition = BackendCondition { .incarnation = incarnation, .isHeard = true, .isLeaving = true };
+    fixture.service.act([&](Turn& turn) { fixture.router.attemptFinished(turn, ServiceFixture::id(0), report); });
+    EXPECT_FALSE(fixture.choose());
+    EXPECT_EQ(nameOf(fixture.reason), nameOf(Reason::NoBackend));
+}
