platform: Give no meaning to revisions and leases from before a restore of the store

What callers could have seen: a route that had been confirmed not in force, or claims that two processes hold.

Cause: the store gives the same revisions and leases out again after it came back from a copy, and the adapter compared numbers of two eras: a watch went on past a change that it never saw, a condition held for somebody else's write, a renewal kept somebody else's lease, and one listing was put together from pages of both. Store-Era was read nowhere. Now versions, leases and indexes carry the era of their answer: a watch of an earlier era reads everything anew, a condition or lease of one is refused without a call, pages of two eras are no listing, and a write that met a restore has no known outcome. A conditional write first reads its key if no answer told the era within a second.

A watch that outlives the restore on its connection brings the change when it ends, up to 29 s late, unless another process announces it.

--- a/Libraries/LibDecision/PlatformOperation.h
+++ b/Libraries/LibDecision/PlatformOperation.h
@@ -108,6 +108,8 @@
     // Index to pass to the next WatchPrefix or WatchRoutes.
     uint64_t index { 0 };
     PlatformLease lease;
+    // Rises each time that the store comes back from a copy and has lost what was written since; 0 if it doesn't tell.
+    uint64_t era { 0 };
     // Result of WatchRoutes; null if the table hasn't changed or none was published.
     std::shared_ptr<const RouteTable> routes;
     // Why there is no usable answer, or why the published route table is invalid; empty if there is no problem.
--- a/Tests/PlatformAdapter/TestDecoding.cpp
+++ b/Tests/PlatformAdapter/TestDecoding.cpp
@@ -85,7 +85,7 @@
     EXPECT_EQ(items->values[0].value, "node-1");
     EXPECT_EQ(items->values[0].lease, Decision::PlatformLease("77120"));
     EXPECT_TRUE(items->hasMore);
-    EXPECT_EQ(items->revision, 530u);
+    EXPECT_EQ(items->index, 530u);
 }
 
 TEST(StoreReply, TellsLostHistoryFromAnUnusableAnswer)
@@ -96,5 +96,5 @@
     auto events = readWatch({ 200, {}, R"({"events":[{"key":"a","revision":413,"removed":true}],"at":413})" });
     ASSERT_TRUE(events.has_value());
     EXPECT_TRUE(events->values.empty());
-    EXPECT_EQ(events->revision, 413u);
+    EXPECT_EQ(events->index, 413u);
 }
--- a/Tests/PlatformAdapter/TestRevisionStore.cpp
+++ b/Tests/PlatformAdapter/TestRevisionStore.cpp
@@ -126,3 +126,73 @@
     EXPECT_EQ(call(RenewLease { other }).status, PlatformStatus::Refused);
     EXPECT_TRUE(call(ReadPrefix { "claims/" }).values.empty());
 }
+
+TEST_F(RevisionStoreTest, AWatchFromBeforeARestoreMissesNoChange)
+{
+    m_standIn.put(configurationKey, configurationOf(7));
+    m_standIn.takeCopy();
+    for (int write = 0; write < 3; ++write)
+        m_standIn.put("other", "value");
+    auto first = call(WatchRoutes { 0, 1s });
+    m_standIn.restoreCopy();
+    m_standIn.put(configurationKey, configurationOf(8));
+    for (int write = 0; write < 5; ++write)
+        m_standIn.put("other", "value");
+    auto second = call(WatchRoutes { first.index, 100ms });
+    ASSERT_TRUE(second.routes);
+    EXPECT_EQ(second.routes->version, Model::Revision(8));
+    EXPECT_EQ(first.era + 1, second.era);
+}
+
+TEST_F(RevisionStoreTest, AConditionOfBeforeARestoreDoesNotHoldForAnothersWrite)
+{
+    m_standIn.takeCopy();
+    EXPECT_EQ(call(CompareAndSwap { "seeds/0", "mine", {} }).status, PlatformStatus::Done);
+    auto mine = call(ReadPrefix { "seeds/" }).values.at(0);
+    m_standIn.restoreCopy();
+    m_standIn.put("fulmarsail/seeds/0", "another's");
+    auto end = m_loop.now() + 1100ms;
+    while (m_loop.now() < end)
+        m_loop.runOnce(50ms);
+    startCall(CompareAndSwap { "seeds/0", "mine again", mine.version });
+    EXPECT_EQ(awaitReply().status, PlatformStatus::Refused);
+    EXPECT_EQ(call(ReadPrefix { "seeds/" }).values.at(0).value, "another's");
+}
+
+// The store may have executed the write, so the caller has to look.
+TEST_F(RevisionStoreTest, AWriteThatMeetsARestoreHasNoKnownOutcome)
+{
+    m_standIn.takeCopy();
+    EXPECT_EQ(call(CompareAndSwap { "seeds/0", "mine", {} }).status, PlatformStatus::Done);
+    auto mine = call(ReadPrefix { "seeds/" }).values.at(0);
+    m_standIn.restoreCopy();
+    m_standIn.put("fulmarsail/seeds/0", "another's");
+    EXPECT_EQ(call(CompareAndSwap { "seeds/0", "mine again", mine.version }).status, PlatformStatus::NoAnswer);
+}
+
+TEST_F(RevisionStoreTest, ALeaseOfBeforeARestoreIsNotTakenForAnothers)
+{
+    m_standIn.takeCopy();
+    auto mine = call(GrantLease { 2s, "me" }).lease;
+    m_standIn.restoreCopy();
+    auto others = call(GrantLease { 2s, "another" }).lease;
+    EXPECT_NE(mine, others);
+    startCall(RenewLease { mine });
+    EXPECT_EQ(awaitReply().status, PlatformStatus::Refused);
+    EXPECT_EQ(call(AcquireKey { "claims/1", "another", others }).status, PlatformStatus::Done);
+    EXPECT_EQ(call(AcquireKey { "claims/1", "me", mine }).status, PlatformStatus::Refused);
+    startCall(ReleaseKey { "claims/1", "me", mine });
+    EXPECT_EQ(awaitReply().status, PlatformStatus::Refused);
+    EXPECT_EQ(call(RenewLease { others }).status, PlatformStatus::Done);
+}
+
+TEST_F(RevisionStoreTest, PagesOfTwoErasMakeNoListing)
+{
+    m_standIn.setPageSize(1);
+    m_standIn.put("fulmarsail/seeds/0", "a");
+    m_standIn.takeCopy();
+    m_standIn.put("fulmarsail/seeds/1", "b");
+    m_standIn.restoreCopyAfter(1);
+    EXPECT_EQ(call(ReadPrefix { "seeds/" }).status, PlatformStatus::NoAnswer);
+    EXPECT_EQ(call(ReadPrefix { "seeds/" }).values.size(), 1u);
+}
--- a/Tests/StandIns/StandInRevisionStore.cpp
+++ b/Tests/StandIns/StandInRevisionStore.cpp
@@ -42,15 +42,27 @@
 
 void StandInRevisionStore::put(const std::string& key, const std::string& value)
 {
-    auto& item = m_items[key];
+    auto& item = m_state.items[key];
     item.value = value;
-    item.revision = ++m_revision;
+    item.revision = ++m_state.revision;
     if (item.created == 0)
-        item.created = m_revision;
+        item.created = m_state.revision;
     wakeWatches();
 }
 
-void StandInRevisionStore::dropHistory() { m_historySince = m_revision; }
+void StandInRevisionStore::restoreCopy()
+{
+    m_state = m_copy;
+    ++m_era;
+}
+
+void StandInRevisionStore::respond(Transport::ServerRequestId id, HttpResponse response)
+{
+    response.headers.push_back({ "store-era", std::to_string(m_era) });
+    m_server->respond(id, std::move(response));
+}
+
+void StandInRevisionStore::dropHistory() { m_historySince = m_state.revision; }
 
 Json::Value StandInRevisionStore::describe(const std::string& key, const Item& item) const
 {
@@ -66,21 +78,25 @@
 void StandInRevisionStore::receive(Transport::ServerRequestId id, const HttpRequest& request)
 {
     const auto& target = request.target;
-    auto answer = [&](HttpResponse response) { m_server->respond(id, std::move(response)); };
+    auto answer = [&](HttpResponse response) { respond(id, std::move(response)); };
     auto leaseOf = [&] { return std::stoull(target.substr(target.rfind('/') + 1)); };
-    auto isHeld = [&](uint64_t lease) { return std::ranges::find(m_leases, lease) != m_leases.end(); };
+    auto isHeld = [&](uint64_t lease) { return std::ranges::find(m_state.leases, lease) != m_state.leases.end(); };
     if (m_refusal)
         return answer({ m_refusal, {}, "" });
-    if (target.starts_with("/fulmarsail/kv-range"))
-        return answer(jsonResponse(range(queryValue(target, "prefix"), queryValue(target, "after"))));
+    if (target.starts_with("/fulmarsail/kv-range")) {
+        answer(jsonResponse(range(queryValue(target, "prefix"), queryValue(target, "after"))));
+        if (m_pagesUntilRestore > 0 && --m_pagesUntilRestore == 0)
+            restoreCopy();
+        return;
+    }
     if (target.starts_with("/fulmarsail/kv-watch"))
         return startWatch(id, queryValue(target, "prefix"), queryNumber(target, "after"), queryNumber(target, "waitMs"));
     if (target == "/fulmarsail/kv-txn")
         return answer(transact(bodyOf(request)));
     if (target == "/fulmarsail/kv-lease") {
-        m_leases.push_back(++m_lastLease);
+        m_state.leases.push_back(++m_state.lastLease);
         auto json = bodyOf(request);
-        json["lease"] = static_cast<Json::UInt64>(m_lastLease);
+        json["lease"] = static_cast<Json::UInt64>(m_state.lastLease);
         return answer(jsonResponse(json));
     }
     if (target.starts_with("/fulmarsail/kv-keep/"))
@@ -97,8 +113,8 @@
     Json::Value json;
     json["items"] = Json::Value(Json::arrayValue);
     json["hasMore"] = false;
-    json["at"] = static_cast<Json::UInt64>(m_revision);
-    for (auto item = after.empty() ? m_items.lower_bound(prefix) : m_items.upper_bound(after); item != m_items.end() && item->first.starts_with(prefix); ++item) {
+    json["at"] = static_cast<Json::UInt64>(m_state.revision);
+    for (auto item = after.empty() ? m_state.items.lower_bound(prefix) : m_state.items.upper_bound(after); item != m_state.items.end() && item->first.starts_with(prefix); ++item) {
         if (json["items"].size() == m_pageSize) {
             json["hasMore"] = true;
             break;
@@ -110,8 +126,8 @@
 
 void StandInRevisionStore::startWatch(Transport::ServerRequestId id, const std::string& prefix, uint64_t after, uint64_t waitMilliseconds)
 {
-    if (after < m_historySince)
-        return m_server->respond(id, { 410, {}, "" });
+    if (after < m_historySince || after > m_state.revision)
+        return respond(id, { 410, {}, "" });
     if (answerWatch(id, prefix, after, false))
         return;
     auto timer = m_loop.callAt(m_loop.now() + std::chrono::milliseconds(waitMilliseconds), [this, id] {
@@ -126,14 +142,14 @@
 {
     Json::Value json;
     json["events"] = Json::Value(Json::arrayValue);
-    json["at"] = static_cast<Json::UInt64>(m_revision);
-    for (const auto& [key, item] : m_items) {
+    json["at"] = static_cast<Json::UInt64>(m_state.revision);
+    for (const auto& [key, item] : m_state.items) {
         if (key.starts_with(prefix) && item.revision > after)
             json["events"].append(describe(key, item));
     }
     if (json["events"].empty() && !isOver)
         return false;
-    m_server->respond(id, jsonResponse(json));
+    respond(id, jsonResponse(json));
     return true;
 }
 
@@ -151,28 +167,28 @@
 HttpResponse StandInRevisionStore::transact(const Json::Value& transaction)
 {
     for (const auto& condition : transaction["expectedRevision"]) {
-        auto item = m_items.find(condition["key"].asString());
-        auto revision = item == m_items.end() ? 0 : item->second.revision;
+        auto item = m_state.items.find(condition["key"].asString());
+        auto revision = item == m_state.items.end() ? 0 : item->second.revision;
         if (revision != condition["revision"].asUInt64())
             return { 412, {}, "{}" };
     }
     for (const auto& write : transaction["puts"]) {
         auto lease = write["lease"].asUInt64();
-        if (lease && std::ranges::find(m_leases, lease) == m_leases.end())
+        if (lease && std::ranges::find(m_state.leases, lease) == m_state.leases.end())
             return { 404, {}, "{}" };
         put(write["key"].asString(), Platform::decodeBase64(write["value"].asString()).value_or(""));
-        m_items[write["key"].asString()].lease = lease;
+        m_state.items[write["key"].asString()].lease = lease;
     }
     Json::Value json;
-    json["revision"] = static_cast<Json::UInt64>(m_revision);
+    json["revision"] = static_cast<Json::UInt64>(m_state.revision);
     return jsonResponse(json);
 }
 
 void StandInRevisionStore::endLease(uint64_t lease)
 {
-    std::erase(m_leases, lease);
-    std::erase_if(m_items, [lease](const auto& item) { return item.second.lease == lease; });
-    ++m_revision;
+    std::erase(m_state.leases, lease);
+    std::erase_if(m_state.items, [lease](const auto& item) { return item.second.lease == lease; });
+    ++m_state.revision;
 }
 
 }
--- a/Tests/StandIns/StandInRevisionStore.h
+++ b/Tests/StandIns/StandInRevisionStore.h
@@ -26,6 +26,12 @@
     void put(const std::string& key, const std::string& value);
     // Forgets which keys changed when; watches from before get 410.
     void dropHistory();
+    // Keeps the present state for restoreCopy().
+    void takeCopy() { m_copy = m_state; }
+    // Comes back from the copy: a new era, in which revisions and leases are given out again. Watches that wait go on.
+    void restoreCopy();
+    // Comes back from the copy as soon as so many more pages of ranges were answered.
+    void restoreCopyAfter(size_t pages) { m_pagesUntilRestore = pages; }
     void setPageSize(size_t items) { m_pageSize = items; }
     // Answers every call with the status; 0 ends that.
     void refuse(uint16_t status) { m_refusal = status; }
@@ -43,6 +49,7 @@
         Transport::TimerId timer { 0 };
     };
 
+    void respond(Transport::ServerRequestId, Transport::HttpResponse);
     void receive(Transport::ServerRequestId, const Transport::HttpRequest&);
     void startWatch(Transport::ServerRequestId, const std::string& prefix, uint64_t after, uint64_t waitMilliseconds);
     bool answerWatch(Transport::ServerRequestId, const std::string& prefix, uint64_t after, bool isOver);
@@ -54,12 +61,18 @@
 
     Transport::EventLoop& m_loop;
     std::unique_ptr<Transport::HttpServer> m_server;
-    std::map<std::string, Item> m_items;
-    std::vector<uint64_t> m_leases;
+    struct State {
+        std::map<std::string, Item> items;
+        std::vector<uint64_t> leases;
+        uint64_t revision { 1 };
+        uint64_t lastLease { 100 };
+    };
+    State m_state;
+    State m_copy;
+    uint64_t m_era { 1 };
+    size_t m_pagesUntilRestore { 0 };
     std::unordered_map<Transport::ServerRequestId, Watch> m_watches;
-    uint64_t m_revision { 1 };
     uint64_t m_historySince { 0 };
-    uint64_t m_lastLease { 100 };
     size_t m_pageSize { 500 };
     uint16_t m_refusal { 0 };
 };
