LibDecision: Repair the list of seeds when the store comes back

Cause: the list of seeds is state in the store that nobody watches; its owners check it every five minutes. Now whoever sees the store come back, after an outage or in a new era, checks the list four times within about 10 s, writes the entries of its zone that are missing or name nobody alive on behalf of their owners, and joins at once the processes in the list that it doesn't know. So two fleets that read one list become one. The route watchers see each restore, since their calls end with it; nobody else makes more calls.

If the list is lost without an outage or a new era, the owners' check finds it (8 min). FakePlatform tells its era; the fake fleet's watches no longer wake each other without end.

--- a/Libraries/LibDecision/Configuration/ProfileConfiguration.h
+++ b/Libraries/LibDecision/Configuration/ProfileConfiguration.h
@@ -40,6 +40,9 @@
     // Returns false if the reply belongs to another component.
     bool handleReply(Turn&, const PlatformReply&);
 
+    // Takes any reply of the platform, to keep the list of seeds in it.
+    void noteReply(Turn& turn, const PlatformReply& reply) { m_seedList.noteReply(turn, reply); }
+
     // Returns the control endpoints read from the platform's seed list since the last call, for Membership::addSeeds().
     std::vector<Endpoint> takeSeeds() { return m_seedList.takeSeeds(); }
 
--- a/Libraries/LibDecision/Configuration/SeedList.cpp
+++ b/Libraries/LibDecision/Configuration/SeedList.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/Rendezvous.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <string_view>
 #include <utility>
@@ -24,6 +25,10 @@
     // before it checks the entries that it owns.
     constexpr Duration stabilizationDelay = std::chrono::seconds(20);
 
+    // Delays of the checks after the store came back, each after the one before. A process that read the list just
+    // before a check may write its own entry just after it.
+    constexpr std::array<Duration, 4> repairDelays { 100ms, 1s, 3s, 6s };
+
     Duration jittered(Duration duration, std::mt19937_64& random)
     {
         return duration + Duration(std::uniform_int_distribution<Duration::rep>(0, duration.count() / 2)(random));
@@ -56,7 +61,7 @@
     if (!m_nextTimer || turn.now() < *m_nextTimer)
         return;
     // A process that has joined needs no seeds any more, and reads the list only to keep its own entries in it.
-    if (m_pendingRead || isAlone() || (m_hasJoined && ownsAnyEntry()))
+    if (m_pendingRead || m_repairChecks || isAlone() || (m_hasJoined && ownsAnyEntry()))
         read(turn);
     else
         m_nextTimer = turn.now() + delayAfterJoin(turn);
@@ -75,10 +80,32 @@
     }
     collectSeeds(reply.values);
     writeOwnEntries(turn, reply.values);
-    m_nextTimer = turn.now() + delayAfterRead(turn);
+    if (m_repairChecks && !isAlone())
+        repairEntries(turn, reply.values);
+    if (m_repairChecks && ++*m_repairChecks == repairDelays.size())
+        m_repairChecks.reset();
+    m_nextTimer = turn.now() + (m_repairChecks ? jittered(repairDelays[*m_repairChecks], turn.random()) : delayAfterRead(turn));
     return true;
 }
 
+void SeedList::noteReply(Turn& turn, const PlatformReply& reply)
+{
+    bool isRestored = m_era != 0 && reply.era > m_era;
+    if (isRestored)
+        turn.recordDecision({ .kind = DecisionKind::StoreRestored, .step = "check-seeds", .peer = "platform", .evidence = "era " + std::to_string(reply.era) + " after " + std::to_string(m_era) + ": what was written since its copy is gone" });
+    m_era = std::max(m_era, reply.era);
+    if (reply.status == PlatformStatus::NoAnswer) {
+        m_wasSilent = true;
+        return;
+    }
+    bool isBack = std::exchange(m_wasSilent, false);
+    if (!isRestored && (!isBack || m_repairChecks))
+        return;
+    m_repairChecks = 0;
+    if (!m_pendingRead)
+        m_nextTimer = turn.now() + jittered(repairDelays.front(), turn.random());
+}
+
 void SeedList::collectSeeds(const std::vector<KeyValue>& values)
 {
     for (const auto& value : values) {
@@ -98,16 +125,41 @@
         bool isOwnEntry = isAlone() ? entry == std::hash<InstanceId> {}(m_self) % entriesPerZone && !(isFirstRead && !values.empty()) : isOwner(entry, candidates);
         if (!isOwnEntry)
             continue;
-        auto key = entryKey(entry);
-        auto current = std::ranges::find(values, key, &KeyValue::key);
-        if (current != values.end() && current->value == m_endpoint)
-            continue;
-        // The next read shows whether the write succeeded.
-        auto version = current == values.end() ? PlatformVersion {} : current->version;
-        m_pendingWrites.insert(turn.callPlatform(CompareAndSwap { key, m_endpoint, version }));
+        writeEntry(turn, values, entry, m_endpoint);
     }
 }
 
+void SeedList::writeEntry(Turn& turn, const std::vector<KeyValue>& values, size_t entry, const std::string& endpoint)
+{
+    auto key = entryKey(entry);
+    auto current = std::ranges::find(values, key, &KeyValue::key);
+    if (current != values.end() && current->value == endpoint)
+        return;
+    auto version = current == values.end() ? PlatformVersion {} : current->version;
+    m_pendingWrites.insert(turn.callPlatform(CompareAndSwap { key, endpoint, version }));
+}
+
+void SeedList::repairEntries(Turn& turn, const std::vector<KeyValue>& values)
+{
+    auto candidates = liveMembersOfZone(m_membership, m_zone);
+    for (size_t entry = 0; entry < entriesPerZone; ++entry) {
+        auto owner = rendezvousChoice(entryKey(entry), candidates, 1);
+        const auto* member = owner.empty() || owner.front() == m_self ? nullptr : m_membership.find(owner.front());
+        auto current = std::ranges::find(values, entryKey(entry), &KeyValue::key);
+        bool isUsable = current != values.end() && isLive(current->value);
+        if (member && !isUsable)
+            writeEntry(turn, values, entry, member->control.toString());
+    }
+}
+
+bool SeedList::isLive(const std::string& endpoint) const
+{
+    return std::ranges::any_of(m_membership.liveMembers(), [&](const InstanceId& instance) {
+        const auto* member = m_membership.find(instance);
+        return member && member->control.toString() == endpoint;
+    });
+}
+
 Duration SeedList::delayAfterRead(Turn& turn)
 {
     return isAlone() ? m_backoff.next(turn.random()) : delayAfterJoin(turn);
--- a/Libraries/LibDecision/DecisionEvent.h
+++ b/Libraries/LibDecision/DecisionEvent.h
@@ -55,6 +55,7 @@
     RoutesWatchLost,
     PlatformLost,
     PlatformRestored,
+    StoreRestored,
     Leaving,
     Left,
 };
@@ -124,6 +125,7 @@
         EnumName { Decision::DecisionKind::RoutesWatchLost, "routes-watch-lost" },
         EnumName { Decision::DecisionKind::PlatformLost, "platform-lost" },
         EnumName { Decision::DecisionKind::PlatformRestored, "platform-restored" },
+        EnumName { Decision::DecisionKind::StoreRestored, "store-restored" },
         EnumName { Decision::DecisionKind::Leaving, "leaving" },
         EnumName { Decision::DecisionKind::Left, "left" },
     };
--- a/Libraries/LibDecision/Membership/Membership.cpp
+++ b/Libraries/LibDecision/Membership/Membership.cpp
@@ -557,6 +557,18 @@
     }
 }
 
+void Membership::addSeeds(Turn& turn, const std::vector<Endpoint>& seeds)
+{
+    addSeeds(seeds);
+    if (m_members.peers().isEmpty())
+        return;
+    // A seed that is unknown to a process with peers belongs to another fleet, or has just started.
+    for (const auto& seed : seeds) {
+        if (seed != self().control && !m_members.findByControl(seed))
+            send(turn, {}, seed, Join { self() });
+    }
+}
+
 void Membership::join(Turn& turn)
 {
     if (!m_members.peers().isEmpty())
--- a/Libraries/LibDecision/Membership/Membership.h
+++ b/Libraries/LibDecision/Membership/Membership.h
@@ -57,7 +57,8 @@
     // Returns true if the record changed the member table; it is then disseminated. Returns false for a record about
     // this process, which is refuted unless it is stale or equals the process's own record.
     bool apply(Turn&, const MemberRecord&);
-    void addSeeds(const std::vector<Endpoint>&);
+    // Takes endpoints that were read from the platform, and joins those that it doesn't know at once if it has peers.
+    void addSeeds(Turn&, const std::vector<Endpoint>&);
     // Probes the member at once instead of in its turn because requests to it fail, unless its path is already lost.
     void probeNow(Turn&, const InstanceId&);
 
@@ -132,6 +133,7 @@
     void sendGossip(Turn&, const std::vector<InstanceId>& targets, const std::vector<Rumor>&);
     std::vector<InstanceId> drawGossipTargets(Turn&);
 
+    void addSeeds(const std::vector<Endpoint>&);
     void join(Turn&);
     void reconnect(Turn&);
     std::optional<Endpoint> drawUnknownSeed(Turn&) const;
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -209,6 +209,7 @@
 
 void NodeState::receive(Turn& turn, const PlatformReplied& replied)
 {
+    m_configuration.noteReply(turn, replied.reply);
     if (m_routes.handleReply(turn, replied.reply))
         return;
     if (!m_configuration.handleReply(turn, replied.reply)) {
@@ -217,7 +218,7 @@
     }
     auto seeds = m_configuration.takeSeeds();
     if (!seeds.empty())
-        m_membership.addSeeds(seeds);
+        m_membership.addSeeds(turn, seeds);
 }
 
 void NodeState::receive(Turn& turn, const LeaveRequested&)
--- a/Services/fulmard/Observability.cpp
+++ b/Services/fulmard/Observability.cpp
@@ -35,6 +35,7 @@
         KindLevel { DecisionKind::ProfileForked, LogLevel::Error },
         KindLevel { DecisionKind::RoutesWatchLost, LogLevel::Warn },
         KindLevel { DecisionKind::PlatformLost, LogLevel::Warn },
+        KindLevel { DecisionKind::StoreRestored, LogLevel::Warn },
     };
 
     LogLevel levelOf(DecisionKind kind)
--- a/Tests/LibDecision/Membership/MemberProcess.h
+++ b/Tests/LibDecision/Membership/MemberProcess.h
@@ -83,8 +83,9 @@
 
     void handleInput(Turn& turn, const PlatformReplied& replied)
     {
+        m_configuration.noteReply(turn, replied.reply);
         m_configuration.handleReply(turn, replied.reply);
-        m_membership.addSeeds(m_configuration.takeSeeds());
+        m_membership.addSeeds(turn, m_configuration.takeSeeds());
     }
 
     void handleInput(Turn& turn, const MessageReceived& received) { applyRumors(turn, m_membership.receive(turn, received.message)); }
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -50,7 +50,8 @@
     ++m_generations[node];
     NodeOptions options;
     options.self = recordOf(node);
-    options.seeds = { { "127.0.0.1", 2000 }, { "127.0.0.1", 2001 } };
+    if (m_options.knowsSeeds)
+        options.seeds = { { "127.0.0.1", 2000 }, { "127.0.0.1", 2001 } };
     options.randomSeed = m_fleet.random()();
     options.leaveTimeout = leaveTimeout;
     options.routing = m_options.routing;
@@ -164,6 +165,24 @@
         startNode(node);
 }
 
+size_t NodeFleet::addNode()
+{
+    m_generations.push_back(0);
+    startNode(m_generations.size() - 1);
+    return m_generations.size() - 1;
+}
+
+void NodeFleet::restorePlatform()
+{
+    m_platform.restoreSnapshot(m_fleet.now());
+    for (const auto& pending : std::exchange(m_pendingWatches, {})) {
+        PlatformReply lost;
+        lost.tag = pending.call.tag;
+        if (m_generations[pending.node] == pending.generation)
+            m_fleet.deliver(pending.node, PlatformReplied { lost });
+    }
+}
+
 void NodeFleet::leave(size_t node)
 {
     if (m_fleet.isRunning(node))
@@ -538,6 +557,8 @@
     if (const auto* watch = std::get_if<WatchRoutes>(&effect.operation))
         wait = watch->wait;
     platformReply(node, m_generations[node], effect, m_fleet.now() + wait);
+    if (wait > Duration::zero())
+        m_fleet.callLater(wait, [this] { answerWatches(); });
 }
 
 void NodeFleet::platformReply(size_t node, uint32_t generation, const CallPlatform& call, Instant end)
@@ -553,7 +574,6 @@
         return deliver(lost, platformTimeout);
     if (m_platform.mustWait(call.operation) && m_fleet.now() < end) {
         m_pendingWatches.push_back({ node, generation, call, end });
-        m_fleet.callLater(end - m_fleet.now(), [this] { answerWatches(); });
         return;
     }
 
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -110,6 +110,8 @@
     std::shared_ptr<const RouteTable> routes;
     // Whether a backend server whose sidecar has died waits for the sidecar's successor instead of moving elsewhere.
     bool areBackendsTied { false };
+    // Whether processes know some others from the start, rather than only from the store.
+    bool knowsSeeds { true };
 };
 
 // Simulates a fleet of complete nodes with a fake network, platform and backend servers. Records for each request what
@@ -131,6 +133,10 @@
     void leave(size_t node);
     void pause(size_t node, Duration);
     void drain(size_t backend);
+    // Starts another process beside those that there are. Returns its index.
+    size_t addNode();
+    // Brings the store back from its snapshot. Calls that wait there get no answer.
+    void restorePlatform();
     void runFor(Duration duration) { m_fleet.runFor(duration); }
 
     FakeFleet<Node>& fleet() { return m_fleet; }
--- a/Tests/LibDecision/Node/TestNode.cpp
+++ b/Tests/LibDecision/Node/TestNode.cpp
@@ -181,3 +181,81 @@
         EXPECT_EQ(fleet.state(node).registry().backendsOf(ServiceName(service)).size(), 6u);
     }
 }
+
+namespace {
+
+// A fleet whose processes find each other only through the store.
+class RestoredStoreTest : public testing::Test {
+protected:
+    static constexpr size_t nodeCount = 6;
+
+    static NodeFleetOptions options()
+    {
+        NodeFleetOptions options;
+        options.routing = RoutingMode::RouteTable;
+        auto table = std::make_shared<RouteTable>();
+        table->version = Revision(1);
+        options.routes = table;
+        options.knowsSeeds = false;
+        return options;
+    }
+
+    RestoredStoreTest()
+    {
+        fleet.platform().takeSnapshot();
+        fleet.runFor(60s);
+    }
+
+    // Whether each process knows all others.
+    bool isOneFleet()
+    {
+        for (size_t node = 0; node < fleet.fleet().size(); ++node) {
+            if (fleet.state(node).membership().liveMembers().size() != fleet.fleet().size())
+                return false;
+        }
+        return true;
+    }
+
+    void startNewcomers()
+    {
+        for (int count = 0; count < 4; ++count) {
+            fleet.addNode();
+            fleet.runFor(200ms);
+        }
+    }
+
+    NodeFleet fleet { 1, nodeCount, options() };
+};
+
+}
+
+// The users' bound on the recovery of the whole system.
+static constexpr Duration recoveryTime = 15s;
+
+TEST_F(RestoredStoreTest, ProcessesThatStartAfterARestoreFindTheFleet)
+{
+    ASSERT_TRUE(isOneFleet());
+    fleet.restorePlatform();
+    fleet.runFor(100ms);
+    startNewcomers();
+    EXPECT_TRUE(fleet.fleet().runUntil(recoveryTime, 100ms, [&] { return isOneFleet(); }));
+}
+
+TEST_F(RestoredStoreTest, ProcessesThatStartWhileTheStoreIsAwayFindTheFleet)
+{
+    fleet.isPlatformDown = true;
+    fleet.restorePlatform();
+    startNewcomers();
+    fleet.runFor(3s);
+    fleet.isPlatformDown = false;
+    EXPECT_TRUE(fleet.fleet().runUntil(recoveryTime, 100ms, [&] { return isOneFleet(); }));
+}
+
+// Nothing tells the fleet of the loss, so it is found when the owners check their entries.
+TEST_F(RestoredStoreTest, ProcessesFindTheFleetAlthoughTheStoreWasEmptiedWithoutNotice)
+{
+    constexpr Duration ownerCheckTime = 8min;
+    fleet.platform().forgetKeys();
+    startNewcomers();
+    EXPECT_TRUE(fleet.fleet().runUntil(ownerCheckTime, 1s, [&] { return isOneFleet(); }));
+}
--- a/Tests/LibDecision/Support/FakePlatform.cpp
+++ b/Tests/LibDecision/Support/FakePlatform.cpp
@@ -30,6 +30,7 @@
     ++(isRead ? m_reads : m_writes);
     auto reply = std::visit([this](const auto& typed) { return perform(typed); }, operation);
     reply.index = m_state.lastVersion;
+    reply.era = m_era;
     return reply;
 }
 
@@ -52,6 +53,7 @@
 void FakePlatform::restoreSnapshot(Instant now)
 {
     m_state = m_snapshot;
+    ++m_era;
     for (auto& [name, lease] : m_state.leases)
         lease.endsAt = now + lease.timeToLive;
 }
--- a/Tests/LibDecision/Support/FakePlatform.h
+++ b/Tests/LibDecision/Support/FakePlatform.h
@@ -23,6 +23,8 @@
     void publishRoutes(std::shared_ptr<const RouteTable>);
 
     void takeSnapshot() { m_snapshot = m_state; }
+    // Loses all keys, but not the routes, and tells nobody.
+    void forgetKeys() { m_state.keys.clear(); }
     // Restores the snapshot. Its leases start over with their whole time to live.
     void restoreSnapshot(Instant now);
 
@@ -58,6 +60,7 @@
     Instant m_now;
     State m_state;
     State m_snapshot;
+    uint64_t m_era { 1 };
     uint64_t m_lastLease { 0 };
     uint64_t m_reads { 0 };
     uint64_t m_writes { 0 };
