fulmard: Give requests in flight the whole time anew when a process is stopped again

Cause: the first SIGTERM set the end, and a second one was ignored. Now it sets the end anew. The test AsksForMoreTimeWhenItIsStoppedAgainWhileARequestRuns failed before (the request ended unknown). TestStopSignals expected a repeated SIGTERM to be ignored; it now expects that it means to leave, and as before never to cut requests.

--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -106,7 +106,7 @@
     PlatformReply reply;
 };
 
-// The process was asked to leave the fleet.
+// The process was asked to leave the fleet. Asked again, it gives the requests in flight the whole time anew.
 struct LeaveRequested {
 };
 
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -223,11 +223,12 @@
 
 void NodeState::receive(Turn& turn, const LeaveRequested&)
 {
-    if (m_leavingSince)
-        return;
+    bool wasLeaving = m_leavingSince.has_value();
     m_leavingSince = turn.now();
     m_calls.endAt(turn.now() + m_leaveTimeout);
     m_leaveCheckAt = turn.now() + std::min(Duration(minimumLeaveTime), m_leaveTimeout);
+    if (wasLeaving)
+        return;
     m_leaveNoticeEndsAt = turn.now() + std::min(m_leaveNotice, m_leaveTimeout);
     endLeaveNotice(turn);
     m_admission.leave(turn);
--- a/Services/fulmard/StopSignals.h
+++ b/Services/fulmard/StopSignals.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include <csignal>
+#include <utility>
 
 namespace Fulmard {
 
 enum class StopAction {
-    // Finish the requests in flight, then end.
+    // Finish the requests in flight, then end. If the process is leaving already, they get the whole time anew.
     Leave,
-    // The process is leaving already.
-    None,
     // End with requests in flight.
     EndNow,
 };
@@ -19,11 +18,8 @@
 public:
     StopAction receive(int signal)
     {
-        if (!m_isLeaving) {
-            m_isLeaving = true;
-            return StopAction::Leave;
-        }
-        return signal == SIGINT ? StopAction::EndNow : StopAction::None;
+        bool wasLeaving = std::exchange(m_isLeaving, true);
+        return wasLeaving && signal == SIGINT ? StopAction::EndNow : StopAction::Leave;
     }
 
 private:
--- a/Services/fulmard/main.cpp
+++ b/Services/fulmard/main.cpp
@@ -101,8 +101,6 @@
         case Fulmard::StopAction::Leave:
             daemon.leave();
             return;
-        case Fulmard::StopAction::None:
-            return;
         case Fulmard::StopAction::EndNow:
             daemon.logUnfinished();
             loop.stop();
--- a/Tests/LibDecision/Node/TestNode.cpp
+++ b/Tests/LibDecision/Node/TestNode.cpp
@@ -104,6 +104,24 @@
         EXPECT_EQ(fleet.requests()[request].callerOutcome, CallerOutcome::NotRun);
 }
 
+// Planned stops may overlap: the second one gives the process as much time as the first.
+TEST(LeavingNode, AsksForMoreTimeWhenItIsStoppedAgainWhileARequestRuns)
+{
+    NodeFleet fleet(1, 2);
+    fleet.backends()[fleet.addBackend(service, 0)].serviceTime = 24s;
+    fleet.runFor(15s);
+    auto info = fleet.makeRequest(service, Method::Post);
+    info.remaining = 30s;
+    auto request = fleet.send(1, std::move(info));
+    fleet.runFor(100ms);
+    fleet.leave(1);
+    fleet.runFor(10s);
+    fleet.leave(1);
+    fleet.runFor(30s);
+    EXPECT_EQ(fleet.requests()[request].callerOutcome, CallerOutcome::Answered);
+    EXPECT_TRUE(fleet.hasLeft(1));
+}
+
 TEST_F(NodeTest, ALeavingNodeAbortsNoRequests)
 {
     for (int index = 0; index < 20; ++index)
