--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -63,7 +63,8 @@
 };
 
 // Admission control for the backend servers of this process: concurrency slots, the rate of requests that they name, a
-// short queue that is fair between accounts, deadlines, slow start, draining and claims. It alone decides about these for its backend servers.
+// short queue that is fair between accounts, deadlines, slow start, draining and claims. It alone decides about these for
+// its backend servers.
 //
 // Each request that arrives ends exactly once: it is answered, replayed, redirected, refused or cancelled. A request
 // that ends as "not run" was never sent to its backend server, or its backend server refused it.
