LibTransport: Notice a caller's leave behind its next request

Cause: while an HTTP/1 request waits, the server doesn't read, and looked for the end by peeking at one byte. A byte of the next request hid the end, and the server stopped looking. After the answer, the next request was read and handed on before any look for the end.

Change: PeerCloseWatch asks the kernel for the end or reset (EPOLLRDHUP), which doesn't depend on unread bytes, in a second descriptor set that stands in the library's. It replaces the peeking. A request whose sender has closed by the time at which it is read isn't handed on. A caller that closes its sending side only counted as gone before and still does; now also when it has sent its next request.

Related paths: the control endpoint is the same class, so a sidecar notices the ingress alike. HTTP/2 and bodies that are still arriving are read all the time. While an answer is written, nothing runs; the request behind it is covered by the check.

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -56,6 +56,7 @@
 HttpServer::Implementation::Implementation(EventLoop& eventLoop, HttpServerOptions serverOptions)
     : loop(eventLoop)
     , options(std::move(serverOptions))
+    , peerCloses(eventLoop.m_implementation->loop, [this](uint64_t key) { peerClosed(key); })
 {
     h2o_config_init(&config);
     config.max_request_entity_size = options.maximumBodyBytes + bodyBytesReadBeyondLimit;
@@ -156,13 +157,17 @@
 {
     int on = 1;
     setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    auto* connection = new ServerConnection { this, socket };
-    connections.insert(connection);
+    auto* connection = new ServerConnection { this, socket, ++lastConnectionKey };
+    connections.emplace(connection->key, connection);
     socket->on_close.data = connection;
     socket->on_close.cb = [](void* data) {
         auto* closed = static_cast<ServerConnection*>(data);
         closed->server->connectionClosed(closed);
     };
+    if (!peerCloses.add(h2o_socket_get_fd(socket), connection->key)) {
+        h2o_socket_close(socket);
+        return;
+    }
     h2o_accept(&acceptContext, socket);
 }
 
@@ -184,7 +189,7 @@
 // Ends every connection at once. The library notices on the loop's next rounds.
 void HttpServer::Implementation::closeConnections()
 {
-    for (auto* connection : connections)
+    for (const auto& [key, connection] : connections)
         shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
     std::vector<ServerRequestId> open;
     for (const auto& [id, request] : requests)
@@ -195,7 +200,7 @@
 
 void HttpServer::Implementation::connectionClosed(ServerConnection* connection)
 {
-    connections.erase(connection);
+    connections.erase(connection->key);
     if (connection->lingerDescriptor != -1) {
         auto& shared = *loop.m_implementation;
         shared.retired.push_back(std::make_unique<LingeringClose>(loop, shared.loop, connection->lingerDescriptor));
@@ -253,6 +258,14 @@
         pending.connection = connectionOf(request);
     requests.emplace(id, pending);
 
+    if (pending.connection) {
+        pending.connection->waitingRequest = id;
+        // Nobody waits for a request whose sender left before it was read.
+        if (PeerCloseWatch::isClosedByPeer(h2o_socket_get_fd(pending.connection->socket))) {
+            endUnanswered(*pending.connection);
+            return 0;
+        }
+    }
     if (pending.connection && hasAmbiguousFraming(*pending.connection->socket->input)) {
         request->http1_is_persistent = 0;
         respond(id, HttpResponse { badRequest, { { "content-type", "text/plain" } }, "The request's length is ambiguous.\n" });
@@ -266,56 +279,31 @@
         respond(id, HttpResponse { .status = requestTimeout });
         return 0;
     }
-    if (pending.connection)
-        watchPeer(requests.at(id), id);
     loop.m_implementation->protect([&] { options.onRequest(id, readRequest(request)); });
     return 0;
 }
 
-// The library doesn't read from an HTTP/1 connection while a request waits for its answer, so the peer's
-// close would go unnoticed. This asks to be told when there is something to read, but reads nothing.
-void HttpServer::Implementation::watchPeer(PendingRequest& pending, ServerRequestId id)
+// The library doesn't read from an HTTP/1 connection while a request waits for its answer, so it doesn't notice then.
+void HttpServer::Implementation::peerClosed(uint64_t connectionKey)
 {
-    pending.connection->watchedRequest = id;
-    auto* socket = pending.connection->socket;
-    h2o_socket_dont_read(socket, 1);
-    h2o_socket_read_start(socket, [](h2o_socket_t* readable, const char*) {
-        auto* connection = static_cast<ServerConnection*>(readable->on_close.data);
-        connection->server->peerReadable(connection);
-    });
-}
-
-void HttpServer::Implementation::unwatchPeer(PendingRequest& pending)
-{
-    if (!pending.connection || pending.connection->watchedRequest == 0)
-        return;
-    pending.connection->watchedRequest = 0;
-    h2o_socket_read_stop(pending.connection->socket);
-    h2o_socket_dont_read(pending.connection->socket, 0);
+    auto connection = connections.find(connectionKey);
+    if (connection != connections.end() && connection->second->waitingRequest != 0)
+        abandon(*connection->second);
 }
 
-void HttpServer::Implementation::peerReadable(ServerConnection* connection)
+void HttpServer::Implementation::abandon(ServerConnection& connection)
 {
-    char byte = 0;
-    auto result = recv(h2o_socket_get_fd(connection->socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (result == -1 && (errno == EAGAIN || errno == EINTR))
-        return;
-    if (result <= 0) {
-        abandon(*connection);
-        return;
-    }
-    // FIXME: A caller that sends its next request early isn't noticed when it closes before this answer.
-    h2o_socket_read_stop(connection->socket);
+    auto id = connection.waitingRequest;
+    endUnanswered(connection);
+    if (hasOwner && options.onRequestGone)
+        loop.m_implementation->protect([&] { options.onRequestGone(id); });
 }
 
 // Ends the exchange with a peer that closed its connection. No byte of the made-up answer leaves.
-void HttpServer::Implementation::abandon(ServerConnection& connection)
+void HttpServer::Implementation::endUnanswered(ServerConnection& connection)
 {
-    auto id = connection.watchedRequest;
     shutdown(h2o_socket_get_fd(connection.socket), SHUT_RDWR);
-    respond(id, HttpResponse { .status = requestTimeout });
-    if (hasOwner && options.onRequestGone)
-        loop.m_implementation->protect([&] { options.onRequestGone(id); });
+    respond(connection.waitingRequest, HttpResponse { .status = requestTimeout });
 }
 
 void HttpServer::Implementation::requestDisposed(ServerRequestId id)
@@ -336,7 +324,8 @@
     if (entry == requests.end())
         return std::nullopt;
     auto pending = entry->second;
-    unwatchPeer(pending);
+    if (pending.connection)
+        pending.connection->waitingRequest = 0;
     requests.erase(entry);
     return pending;
 }
--- a/Libraries/LibTransport/HttpServerImplementation.h
+++ b/Libraries/LibTransport/HttpServerImplementation.h
@@ -2,10 +2,10 @@
 
 #include <LibTransport/EventLoopImplementation.h>
 #include <LibTransport/HttpServer.h>
+#include <LibTransport/PeerCloseWatch.h>
 
 #include <optional>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace Transport {
 
@@ -13,8 +13,9 @@
 struct ServerConnection {
     HttpServer::Implementation* server { nullptr };
     h2o_socket_t* socket { nullptr };
+    uint64_t key { 0 };
     // The HTTP/1 request that waits for its answer; 0 if none does.
-    ServerRequestId watchedRequest { 0 };
+    ServerRequestId waitingRequest { 0 };
     // A second descriptor of a connection whose peer may still be sending; -1 if not needed.
     int lingerDescriptor { -1 };
 };
@@ -52,7 +53,6 @@
     void replaceEntityTooLarge(h2o_req_t*, h2o_ostream_t** slot);
     void connectionClosed(ServerConnection*);
     void requestDisposed(ServerRequestId);
-    void peerReadable(ServerConnection*);
 
     void respond(ServerRequestId, HttpResponse);
     void cut(ServerRequestId, HttpResponse, size_t bodyBytes);
@@ -66,7 +66,9 @@
     TimerId acceptTimer { 0 };
     Endpoint endpoint;
     std::unordered_map<ServerRequestId, PendingRequest> requests;
-    std::unordered_set<ServerConnection*> connections;
+    std::unordered_map<uint64_t, ServerConnection*> connections;
+    uint64_t lastConnectionKey { 0 };
+    PeerCloseWatch peerCloses;
     ServerRequestId lastId { 0 };
     bool closesAfterAnswers { false };
     // False once the HttpServer is gone: its callbacks are no longer called.
@@ -78,10 +80,10 @@
     void pauseAccepting();
     void adopt(h2o_socket_t*);
     RequestAnchor* anchorFor(h2o_req_t*, ServerRequestId);
-    void watchPeer(PendingRequest&, ServerRequestId);
-    void unwatchPeer(PendingRequest&);
+    void peerClosed(uint64_t connectionKey);
     std::optional<PendingRequest> take(ServerRequestId);
     void abandon(ServerConnection&);
+    void endUnanswered(ServerConnection&);
     HttpResponse bodyTooLarge() const;
 };
 
--- a/Tests/LibTransport/TestHttpServer.cpp
+++ b/Tests/LibTransport/TestHttpServer.cpp
@@ -188,6 +188,48 @@
     EXPECT_TRUE(runUntil([&] { return gone.size() == 1; }));
 }
 
+TEST_F(HttpServerConnections, NoticesThatACallerClosedBehindItsNextRequest)
+{
+    holdsAnswers = true;
+    RawClient client(server->endpoint());
+    client.send(getRequest);
+    ASSERT_TRUE(runUntil([&] { return held.size() == 1; }));
+    client.send(getRequest);
+    loop.runOnce(20ms);
+    client.close();
+    EXPECT_TRUE(runUntil([&] { return gone.size() == 1; }));
+    EXPECT_EQ(server->openRequests(), 0u);
+    loop.runOnce(20ms);
+    EXPECT_EQ(requests.size(), 1u);
+}
+
+TEST_F(HttpServerConnections, NoticesThatACallerResetBehindPartOfItsNextRequest)
+{
+    holdsAnswers = true;
+    RawClient client(server->endpoint());
+    client.send(getRequest);
+    ASSERT_TRUE(runUntil([&] { return held.size() == 1; }));
+    client.send("GET / HT");
+    loop.runOnce(20ms);
+    client.reset();
+    EXPECT_TRUE(runUntil([&] { return gone.size() == 1; }));
+    EXPECT_EQ(server->openRequests(), 0u);
+}
+
+// The close comes while the first answer is being written, when no request waits.
+TEST_F(HttpServerConnections, HandsOnNoRequestOfACallerThatClosedBeforeItWasRead)
+{
+    answer.body = std::string(32u << 20, 'x');
+    RawClient client(server->endpoint());
+    client.send(getRequest);
+    ASSERT_TRUE(runUntil([&] { return requests.size() == 1; }));
+    client.send(getRequest);
+    client.shutdownSending();
+    client.readToEnd(loop);
+    EXPECT_TRUE(client.isClosedByServer());
+    EXPECT_EQ(requests.size(), 1u);
+}
+
 TEST_F(HttpServerConnections, GivesNoAnswerToACallerThatClosedItsSide)
 {
     holdsAnswers = true;
