LibDecision: Prove, tell and count crashes so that the fleet knows a crashing request in time

Causes: (1) A cut became a crash only by another request's refused connection, a higher incarnation of the same id or a lapse. A new boot mostly has a new id, and its predecessor then counted as leaving, which proves nothing. (2) Processes kept the reports that they got to themselves, so beyond 128 processes some fifteen got them, and a restarted process got none.

Change: An announcement at the endpoint of a backend server that hadn't said that it leaves proves the crash. 50 ms after a cut that nothing explains, the sidecar opens a connection to see whether it is refused, at most once a second. Reports are passed on, and a process that begins a sync is told the newest ones, with their age.

Victims of runs that weren't alone count as one now, and a whole answer clears the request in the whole fleet instead of at one process. Refusals still come with the second victim of a request that comes one after the other, because a suspect runs alone.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -136,6 +136,9 @@
     archive.field("fingerprint", value.fingerprint);
     archive.field("victim", value.victim);
     archive.field("victimIncarnation", value.victimIncarnation);
+    archive.optionalField("ranAlone", value.ranAlone);
+    archive.optionalField("isCleared", value.isCleared);
+    archive.optionalField("age", value.age);
 }
 
 template <typename Archive>
--- a/Libraries/LibDecision/Admission/AdmittedCall.h
+++ b/Libraries/LibDecision/Admission/AdmittedCall.h
@@ -47,6 +47,8 @@
     Duration charged { 0 };
     // True if the ingress has stopped waiting for the outcome.
     bool isCancelled { false };
+    // True if it runs alone because it is suspected of crashing backend servers.
+    bool runsAlone { false };
 
     // Returns true if the request must be granted a claim on its idempotency key before it runs.
     bool needsClaim() const { return request.key && !isIdempotent; }
@@ -64,6 +66,8 @@
     // Exponentially weighted moving average; zero until the first answer.
     Duration serviceTime { 0 };
     CrashWatch crashWatch;
+    // When a connection was last opened only to find out whether the backend server is still there.
+    std::optional<Instant> connectionCheckedAt;
     FaultFilter faults;
     // Until then no request is sent, because this incarnation refused one as meant for another backend server.
     Instant misdirectedUntil;
--- a/Libraries/LibDecision/Admission/CrashGuard.cpp
+++ b/Libraries/LibDecision/Admission/CrashGuard.cpp
@@ -1,6 +1,8 @@
 #include <LibDecision/Admission/CrashGuard.h>
 
 #include <algorithm>
+#include <ranges>
+#include <utility>
 
 namespace Decision {
 
@@ -49,13 +51,26 @@
     add(turn.now(), report, false);
 }
 
-void CrashGuard::recordAnswer(Turn&, const Fingerprint& fingerprint)
+void CrashGuard::recordAnswer(Turn& turn, const Fingerprint& fingerprint)
 {
     auto position = m_positions.find(fingerprint);
     if (position == m_positions.end())
         return;
-    for (auto& victim : position->second->victims)
-        victim.isCleared = true;
+    size_t clearedCount = 0;
+    for (auto& victim : position->second->victims) {
+        if (std::exchange(victim.isCleared, true) || !victim.isConfirmed)
+            continue;
+        ++clearedCount;
+        turn.spread(reportOf(*position->second, victim, turn.now()), Urgency::Immediate);
+    }
+    if (clearedCount == 0)
+        return;
+    DecisionEvent event;
+    event.kind = DecisionKind::CrashSuspicionCleared;
+    event.step = "run";
+    event.peer = position->second->victims.back().backend.value();
+    event.evidence = "answered completely; " + std::to_string(clearedCount) + " victims no longer count";
+    turn.recordDecision(std::move(event));
 }
 
 bool CrashGuard::apply(Turn& turn, const CrashReport& report)
@@ -63,15 +78,40 @@
     return add(turn.now(), report, true);
 }
 
+std::vector<CrashReport> CrashGuard::newestReports(Instant now, size_t maximum) const
+{
+    std::vector<CrashReport> reports;
+    for (const auto& suspect : std::ranges::reverse_view(m_suspects)) {
+        for (const auto& victim : suspect.victims) {
+            if (reports.size() == maximum)
+                return reports;
+            if (victim.isConfirmed)
+                reports.push_back(reportOf(suspect, victim, now));
+        }
+    }
+    return reports;
+}
+
+CrashReport CrashGuard::reportOf(const Suspect& suspect, const Victim& victim, Instant now)
+{
+    return { suspect.fingerprint, victim.backend, victim.incarnation, victim.ranAlone, victim.isCleared, std::max(Duration::zero(), now - victim.at) };
+}
+
 size_t CrashGuard::countVictims(const Fingerprint& fingerprint, const CrashPolicy& policy, Instant now) const
 {
     auto position = m_positions.find(fingerprint);
     if (position == m_positions.end())
         return 0;
-    return std::ranges::count_if(position->second->victims, [&](const Victim& victim) {
+    size_t alone = 0;
+    bool hasOthers = false;
+    for (const auto& victim : position->second->victims) {
         auto countsFor = victim.isConfirmed ? policy.forgetAfter : std::min<Duration>(confirmationTimeout, policy.forgetAfter);
-        return !victim.isCleared && now < victim.at + countsFor;
-    });
+        if (victim.isCleared || now >= victim.at + countsFor)
+            continue;
+        alone += victim.ranAlone ? 1 : 0;
+        hasOthers |= !victim.ranAlone;
+    }
+    return alone + (hasOthers ? 1 : 0);
 }
 
 bool CrashGuard::add(Instant now, const CrashReport& report, bool isConfirmed)
@@ -82,16 +122,20 @@
     auto known = std::ranges::find_if(victims, [&](const Victim& victim) {
         return victim.backend == report.victim && victim.incarnation == report.victimIncarnation;
     });
-    if (known != victims.end()) {
-        bool isNew = isConfirmed && !known->isConfirmed;
-        if (isNew)
-            *known = { report.victim, report.victimIncarnation, now, true, known->isCleared };
-        return isNew;
+    if (known == victims.end()) {
+        if (victims.size() == maximumVictimsKept)
+            victims.erase(victims.begin());
+        victims.push_back({ report.victim, report.victimIncarnation, now - report.age, isConfirmed, report.ranAlone, report.isCleared });
+        return true;
     }
-    if (victims.size() == maximumVictimsKept)
-        victims.erase(victims.begin());
-    victims.push_back({ report.victim, report.victimIncarnation, now, isConfirmed, false });
-    return true;
+    bool confirms = isConfirmed && !known->isConfirmed;
+    bool saysMore = confirms || (report.ranAlone && !known->ranAlone) || (report.isCleared && !known->isCleared);
+    if (confirms)
+        known->at = now - report.age;
+    known->isConfirmed |= isConfirmed;
+    known->ranAlone |= report.ranAlone;
+    known->isCleared |= report.isCleared;
+    return saysMore;
 }
 
 CrashGuard::Suspect& CrashGuard::touch(Instant now, const Fingerprint& fingerprint)
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -91,6 +91,8 @@
     void runFinished(Turn&, SidecarCallId, const RunReport&);
     // Handles a health probe's result, which shows whether earlier cut answers were caused by a crash.
     void probeFinished(Turn&, const BackendId&, const RunReport&);
+    // Handles a refused connection to this incarnation of the backend server, for which CheckConnection asked.
+    void connectionRefused(Turn&, const BackendId&, Incarnation);
     // Handles a change of the backend server's slots, incarnation or phase.
     void backendChanged(Turn&, const BackendId&);
     // Refuses every new request with "not run" from this call on.
@@ -122,6 +124,10 @@
     static constexpr Duration cancellationGrace = 100ms;
     // Longer than the interval at which backend servers announce themselves, so that the successor is known by then.
     static constexpr Duration misdirectionHold = 2s;
+    // Connections are cut before the listener closes if a process ends in the opposite order.
+    static constexpr Duration connectionCheckDelay = 50ms;
+    // Some backend servers cut many answers without ending.
+    static constexpr Duration connectionCheckInterval = 1s;
     // The moving average weights a new service time by 1 / serviceTimeSamples.
     static constexpr int serviceTimeSamples = 8;
 
@@ -191,6 +197,9 @@
     void observeCrashes(Turn&, const AdmittedCall&, const RunReport&);
     void recordSuspectedCrashes(Turn&, const BackendId&, Incarnation);
     void recordCrash(Turn&, const AdmittedCall&);
+    // Plans to find out whether the backend server is still there after an answer was cut. Other requests may not come.
+    void scheduleConnectionCheck(const BackendId&, Instant now);
+    void checkConnection(Turn&, const BackendId&);
     void dropConnections(Turn&, const AdmittedCall&);
 
     // Removes the request and frees its slot or its position in the queue.
@@ -224,6 +233,8 @@
     TimerQueue<BackendId> m_rampTimers;
     // Instants at which a limit lets the next queued request through.
     TimerQueue<BackendId> m_limitTimers;
+    // Instants at which connections to backend servers are checked after cut answers.
+    TimerQueue<BackendId> m_connectionCheckTimers;
     uint64_t m_ignoredInputs { 0 };
     ArrivalCounters m_arrivals;
     bool m_isLeaving { false };
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -25,7 +25,7 @@
 std::optional<Instant> SidecarAdmission<Gate, Observer>::nextTimer() const
 {
     auto first = earliest(earliest(m_ledger.nextTimer(), m_lateTimers.next()), earliest(m_waitTimers.next(), m_rampTimers.next()));
-    return earliest(first, m_limitTimers.next());
+    return earliest(first, earliest(m_limitTimers.next(), m_connectionCheckTimers.next()));
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -41,6 +41,8 @@
         serveQueue(turn, backend);
     for (const auto& backend : m_limitTimers.takeDue(turn.now()))
         serveQueue(turn, backend);
+    for (const auto& backend : m_connectionCheckTimers.takeDue(turn.now()))
+        checkConnection(turn, backend);
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -284,8 +286,7 @@
 
     const auto* local = m_backends.find(backend);
     bool isNewIncarnation = local && local->announcement.incarnation > occupancy->second.incarnation;
-    bool hasLapsed = local && local->phase == BackendPhase::Gone && !local->isLeaving;
-    if (isNewIncarnation || hasLapsed)
+    if (isNewIncarnation || (local && local->hasEndedUnannounced()))
         recordSuspectedCrashes(turn, backend, occupancy->second.incarnation);
     if (isNewIncarnation) {
         refuseQueue(turn, backend, Reason::StaleIncarnation);
@@ -564,7 +565,8 @@
 {
     const auto& profile = profileOf(admitted.backend);
     auto& occupancy = m_occupancies.at(admitted.backend);
-    if (m_crashGuard.isSuspected(admitted.request.fingerprint, profile.crash, turn.now()))
+    admitted.runsAlone = m_crashGuard.isSuspected(admitted.request.fingerprint, profile.crash, turn.now());
+    if (admitted.runsAlone)
         occupancy.isolatedCall = call;
     ++occupancy.running;
     admitted.charged = std::max<Duration>(occupancy.serviceTime, minimumCost);
@@ -862,31 +864,66 @@
 void SidecarAdmission<Gate, Observer>::observeCrashes(Turn& turn, const AdmittedCall& admitted, const RunReport& report)
 {
     auto& occupancy = m_occupancies.at(admitted.backend);
+    const auto* local = m_backends.find(admitted.backend);
     if (verdictOf(report).outcome == Outcome::Answered) {
         m_crashGuard.recordAnswer(turn, admitted.request.fingerprint);
         occupancy.crashWatch.clearCutsUntil(admitted.startedAt);
     } else if (report.result == AttemptResult::NotSent && report.reason == Reason::ConnectFailed) {
         recordSuspectedCrashes(turn, admitted.backend, admitted.incarnation);
     } else if (report.result == AttemptResult::ConnectionLost) {
-        if (admitted.incarnation < occupancy.incarnation)
+        if (admitted.incarnation < occupancy.incarnation || (local && local->hasEndedUnannounced())) {
             recordCrash(turn, admitted);
-        else
-            occupancy.crashWatch.addCutRun(admitted.request.fingerprint, admitted.startedAt, turn.now());
+        } else {
+            occupancy.crashWatch.addCutRun({ admitted.request.fingerprint, admitted.runsAlone }, admitted.startedAt, turn.now());
+            scheduleConnectionCheck(admitted.backend, turn.now());
+        }
     }
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::scheduleConnectionCheck(const BackendId& backend, Instant now)
+{
+    auto& occupancy = m_occupancies.at(backend);
+    if (m_connectionCheckTimers.contains(backend) || !occupancy.crashWatch.hasSuspects(now))
+        return;
+    auto due = now + connectionCheckDelay;
+    if (occupancy.connectionCheckedAt)
+        due = std::max(due, *occupancy.connectionCheckedAt + connectionCheckInterval);
+    m_connectionCheckTimers.set(backend, due);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::checkConnection(Turn& turn, const BackendId& backend)
+{
+    auto occupancy = m_occupancies.find(backend);
+    const auto* local = m_backends.find(backend);
+    // Another request may have shown meanwhile whether it was a crash.
+    if (occupancy == m_occupancies.end() || !local || !occupancy->second.crashWatch.hasSuspects(turn.now()))
+        return;
+    occupancy->second.connectionCheckedAt = turn.now();
+    turn.emit(CheckConnection { backend, local->announcement.incarnation, local->announcement.endpoint });
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::connectionRefused(Turn& turn, const BackendId& backend, Incarnation incarnation)
+{
+    auto occupancy = m_occupancies.find(backend);
+    if (occupancy != m_occupancies.end() && occupancy->second.incarnation == incarnation)
+        recordSuspectedCrashes(turn, backend, incarnation);
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::recordSuspectedCrashes(Turn& turn, const BackendId& backend, Incarnation incarnation)
 {
     const auto& policy = profileOf(backend).crash;
-    for (const auto& fingerprint : m_occupancies.at(backend).crashWatch.takeSuspects(turn.now()))
-        m_crashGuard.recordVictim(turn, { fingerprint, backend, incarnation }, policy);
+    for (const auto& suspect : m_occupancies.at(backend).crashWatch.takeSuspects(turn.now()))
+        m_crashGuard.recordVictim(turn, { suspect.fingerprint, backend, incarnation, suspect.ranAlone }, policy);
 }
 
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::recordCrash(Turn& turn, const AdmittedCall& admitted)
 {
-    m_crashGuard.recordVictim(turn, { admitted.request.fingerprint, admitted.backend, admitted.incarnation }, profileOf(admitted.backend).crash);
+    m_crashGuard.recordVictim(turn, { admitted.request.fingerprint, admitted.backend, admitted.incarnation, admitted.runsAlone }, profileOf(admitted.backend).crash);
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -973,6 +1010,7 @@
         return;
     m_rampTimers.cancel(backend);
     m_limitTimers.cancel(backend);
+    m_connectionCheckTimers.cancel(backend);
     m_occupancies.erase(backend);
 }
 
--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -25,6 +25,8 @@
     // The current attempt.
     AttemptId attempt;
     Instant attemptStartedAt;
+    // True if the request was suspected of crashing backend servers when the attempt began.
+    bool isAttemptSuspected { false };
     // The effect that sent the current attempt.
     ForwardCall forwarded;
     // How often the current attempt was sent again because its connection failed or went silent.
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -289,6 +289,7 @@
     ++call.attempts;
     call.attempt = m_lastAttempt;
     call.attemptStartedAt = turn.now();
+    call.isAttemptSuspected = m_crashGuard.isSuspected(call.request.fingerprint, profileOf(call.request.service).crash, turn.now());
     transition(call, RequestEvent::Sent);
     effect.call = id;
     effect.attempt = call.attempt;
@@ -358,7 +359,7 @@
     call.lastStatus = report.status;
     call.lastPeer = call.backend->id.value();
     if (report.result == AttemptResult::ConnectionLost || report.reason == Reason::AnswerCut)
-        m_crashGuard.recordCut(turn, { call.request.fingerprint, call.backend->id, call.backend->incarnation });
+        m_crashGuard.recordCut(turn, { call.request.fingerprint, call.backend->id, call.backend->incarnation, call.isAttemptSuspected });
     if (report.result == AttemptResult::Answered || report.result == AttemptResult::TimedOut)
         timeoutOf(call).observe(turn.now() - call.attemptStartedAt);
     if (report.result == AttemptResult::Answered)
--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -150,6 +150,13 @@
     Duration timeout { 0 };
 };
 
+// Opens a connection to the backend server and closes it again. ConnectionRefused follows if it is refused.
+struct CheckConnection {
+    BackendId backend;
+    Incarnation incarnation;
+    Endpoint endpoint;
+};
+
 // Closes every idle connection to the endpoint and prevents reuse of those in use.
 struct DropConnections {
     Endpoint endpoint;
@@ -169,7 +176,7 @@
 };
 
 using Effect = std::variant<SendMessage, ForwardCall, CancelAttempt, AnswerCall, RefuseCall, RunCall, CancelRun, AnswerSidecarCall,
-    ReplaySidecarCall, RebindSidecarCall, RedirectSidecarCall, RefuseSidecarCall, KeepAnswer, ForgetAnswer, ProbeBackend, DropConnections, CallPlatform,
+    ReplaySidecarCall, RebindSidecarCall, RedirectSidecarCall, RefuseSidecarCall, KeepAnswer, ForgetAnswer, ProbeBackend, CheckConnection, DropConnections, CallPlatform,
     RecordDecision, Leave>;
 
 using EffectList = std::vector<Effect>;
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -97,6 +97,12 @@
     RunReport report;
 };
 
+// A connection that CheckConnection asked for was refused.
+struct ConnectionRefused {
+    BackendId backend;
+    Incarnation incarnation;
+};
+
 // A backend server registered itself or renewed its announcement.
 struct BackendAnnounced {
     BackendAnnouncement announcement;
@@ -126,7 +132,7 @@
 };
 
 using Input = std::variant<MessageReceived, TimerFired, SendFailed, CallArrived, CallerDisconnected, AttemptFinished, SidecarCallArrived,
-    SidecarCallCancelled, RunFinished, ProbeFinished, BackendAnnounced, BackendWithdrawn, PlatformReplied, LeaveRequested, DrainRequested,
+    SidecarCallCancelled, RunFinished, ProbeFinished, ConnectionRefused, BackendAnnounced, BackendWithdrawn, PlatformReplied, LeaveRequested, DrainRequested,
     DefaultsChanged>;
 
 }
--- a/Libraries/LibDecision/Membership/RecordKey.cpp
+++ b/Libraries/LibDecision/Membership/RecordKey.cpp
@@ -98,6 +98,8 @@
     void addFields(FieldHasher& hasher, const CrashReport& report)
     {
         hasher.add(report.fingerprint.high).add(report.fingerprint.low).add(report.victim).add(report.victimIncarnation);
+        // Without the age, which differs between copies of the same report.
+        hasher.add(uint64_t { report.ranAlone }).add(uint64_t { report.isCleared });
     }
 
     void addFields(FieldHasher& hasher, const ClaimHolder& holder)
--- a/Libraries/LibDecision/Message.h
+++ b/Libraries/LibDecision/Message.h
@@ -97,6 +97,12 @@
     Fingerprint fingerprint;
     BackendId victim;
     Incarnation victimIncarnation;
+    // True if it ran alone there, because it was already suspected. Others that ran with it are not to blame then.
+    bool ranAlone { false };
+    // True if the request was answered completely since, so that it doesn't crash every backend server that runs it.
+    bool isCleared { false };
+    // Time since the crash was observed.
+    Duration age { 0 };
 
     bool operator==(const CrashReport&) const = default;
 };
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -10,6 +10,8 @@
 
     // Minimum time that a leaving process stays, so that the other processes learn of it before its port is closed.
     constexpr auto minimumLeaveTime = std::chrono::milliseconds(500);
+    // Reports told to a process that begins a sync.
+    constexpr size_t maximumCrashReportsTold = 64;
 
 }
 
@@ -94,6 +96,18 @@
         std::visit([&](const auto& record) { applyRecord(turn, record); }, rumor);
     m_claims.receive(turn, received.message);
     m_routes.receive(turn, received.message);
+    const auto* digest = std::get_if<SyncDigest>(&received.message.body);
+    if (digest && digest->wantsAnswer)
+        tellCrashes(turn, received.message);
+}
+
+// Crash reports end by themselves, so they aren't reconciled like records. A process that has just started knows none.
+void NodeState::tellCrashes(Turn& turn, const Message& message) const
+{
+    Gossip gossip;
+    std::ranges::copy(m_crashGuard.newestReports(turn.now(), maximumCrashReportsTold), std::back_inserter(gossip.rumors));
+    if (!gossip.rumors.empty())
+        turn.emit(SendMessage { message.fromControl, message.from, std::move(gossip) });
 }
 
 void NodeState::receive(Turn& turn, const TimerFired&)
@@ -187,6 +201,8 @@
     m_admission.probeFinished(turn, finished.backend, finished.report);
 }
 
+void NodeState::receive(Turn& turn, const ConnectionRefused& refused) { m_admission.connectionRefused(turn, refused.backend, refused.incarnation); }
+
 void NodeState::receive(Turn& turn, const BackendAnnounced& announced)
 {
     m_localBackends.announce(turn, announced.announcement);
@@ -275,7 +291,12 @@
 }
 
 void NodeState::applyRecord(Turn& turn, const HealthReport& report) { m_health.apply(turn, report); }
-void NodeState::applyRecord(Turn& turn, const CrashReport& report) { m_crashGuard.apply(turn, report); }
+void NodeState::applyRecord(Turn& turn, const CrashReport& report)
+{
+    if (m_crashGuard.apply(turn, report))
+        turn.spread(report, Urgency::Immediate);
+}
+
 void NodeState::applyRecord(Turn& turn, const ClaimHolder& holder) { m_claims.apply(turn, holder); }
 void NodeState::applyRecord(Turn& turn, const ProfileRevision& revision) { m_configuration.apply(turn, revision); }
 
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -62,6 +62,7 @@
     void receive(Turn&, const SidecarCallCancelled&);
     void receive(Turn&, const RunFinished&);
     void receive(Turn&, const ProbeFinished&);
+    void receive(Turn&, const ConnectionRefused&);
     void receive(Turn&, const BackendAnnounced&);
     void receive(Turn&, const BackendWithdrawn&);
     void receive(Turn&, const PlatformReplied&);
@@ -76,6 +77,7 @@
     void correctSidecar(Turn&, const BackendRecord&);
     void applyRecord(Turn&, const HealthReport&);
     void applyRecord(Turn&, const CrashReport&);
+    void tellCrashes(Turn&, const Message&) const;
     void applyRecord(Turn&, const ClaimHolder&);
     void applyRecord(Turn&, const ProfileRevision&);
 
--- a/Libraries/LibDecision/Registry/LocalBackends.cpp
+++ b/Libraries/LibDecision/Registry/LocalBackends.cpp
@@ -119,6 +119,7 @@
             && known.announcement.incarnation < announcement.incarnation;
         if (!isPredecessor)
             continue;
+        known.wasReplacedUnannounced = !known.isLeavingForGood;
         known.isLeaving = true;
         known.isLeavingForGood = true;
         transition(turn, known, BackendLifecycleEvent::Withdrawn, "backend server " + announcement.id.value() + " was announced at its endpoint");
@@ -227,6 +228,7 @@
     backend.isLeaving = false;
     backend.isLeavingForGood = false;
     backend.hasServed = false;
+    backend.wasReplacedUnannounced = false;
     backend.phase = m_chart.initial();
     m_drainDeadlines.erase(announcement.id);
     publish(turn, backend);
--- a/Libraries/LibDecision/Registry/LocalBackends.h
+++ b/Libraries/LibDecision/Registry/LocalBackends.h
@@ -28,6 +28,11 @@
     bool isLeavingForGood { false };
     // True once this incarnation has served. It is treated as warm from then on, also after its announcement lapsed.
     bool hasServed { false };
+    // True if another one was announced at its endpoint before it had said that it leaves.
+    bool wasReplacedUnannounced { false };
+
+    // Whether its process ended without a word: it lapsed, or another one took its place.
+    bool hasEndedUnannounced() const { return phase == BackendPhase::Gone && (!isLeaving || wasReplacedUnannounced); }
 };
 
 // The backend servers of which this process is the sidecar. Publishes their records, and expires those that stop
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -12,6 +12,8 @@
 
 // How long after a whole answer a connection counts as proven.
 static constexpr Duration provenTime = 1s;
+// A peer that doesn't answer in this time has neither taken nor refused a connection.
+static constexpr Duration longestCheck = 1s;
 
 HttpClient::Implementation::Implementation(EventLoop& eventLoop, ClientOptions clientOptions)
     : loop(eventLoop)
@@ -24,6 +26,8 @@
     for (auto& [id, request] : requests)
         cancelTimers(request);
     requests.clear();
+    std::ranges::for_each(m_checks, [&](const auto& entry) { loop.cancelTimer(entry.second.timer); });
+    m_checks.clear();
     for (auto& [endpoint, pool] : pools)
         std::ranges::for_each(pool.idle, [&](const auto& connection) { loop.cancelTimer(connection->idleTimer); });
     pools.clear();
@@ -207,6 +211,30 @@
     startWaiting(endpoint);
 }
 
+void HttpClient::Implementation::checkConnection(const Endpoint& endpoint, std::function<void()> onRefused)
+{
+    auto id = ++m_lastCheck;
+    auto& check = m_checks[id];
+    check.connection = std::make_unique<ClientConnection>(loop.m_implementation->loop, endpoint, std::nullopt);
+    bool hasBegun = check.connection->connect([this, id, onRefused](const char* error) { endCheck(
+                                                                                             id, error ? onRefused : [] {}); });
+    if (!hasBegun)
+        m_checks.erase(id);
+    else
+        check.timer = loop.callAt(loop.now() + longestCheck, [this, id] { m_checks.erase(id); });
+}
+
+// The library is still at work on the connection, so it is closed on the loop's next round.
+void HttpClient::Implementation::endCheck(uint64_t id, std::function<void()> callback)
+{
+    auto& check = m_checks.at(id);
+    loop.cancelTimer(check.timer);
+    check.timer = loop.callAt(loop.now(), [this, id, callback = std::move(callback)] {
+        m_checks.erase(id);
+        callback();
+    });
+}
+
 void HttpClient::Implementation::dropConnections(const Endpoint& endpoint)
 {
     auto entry = pools.find(endpoint);
@@ -279,6 +307,8 @@
 
 void HttpClient::cancel(ClientRequestId id) { m_implementation->cancel(id); }
 
+void HttpClient::checkConnection(const Endpoint& endpoint, std::function<void()> onRefused) { m_implementation->checkConnection(endpoint, std::move(onRefused)); }
+
 void HttpClient::dropConnections(const Endpoint& endpoint) { m_implementation->dropConnections(endpoint); }
 
 const ClientCounters& HttpClient::counters() const { return m_implementation->counters; }
--- a/Libraries/LibTransport/HttpClient.h
+++ b/Libraries/LibTransport/HttpClient.h
@@ -104,6 +104,8 @@
     ClientRequestId send(ClientRequest, std::function<void(ClientResult)>);
     // Closes the request's connection; its callback is not called.
     void cancel(ClientRequestId);
+    // Opens a connection apart from the pool and closes it at once. Calls back only if the peer refuses it.
+    void checkConnection(const Endpoint&, std::function<void()> onRefused);
     // Closes idle connections to the endpoint and lets none of those in use be used again.
     void dropConnections(const Endpoint&);
 
--- a/Libraries/LibTransport/HttpClientImplementation.h
+++ b/Libraries/LibTransport/HttpClientImplementation.h
@@ -41,6 +41,7 @@
 
     ClientRequestId send(ClientRequest, std::function<void(ClientResult)>);
     void cancel(ClientRequestId);
+    void checkConnection(const Endpoint&, std::function<void()> onRefused);
     void dropConnections(const Endpoint&);
 
     EventLoop& loop;
@@ -51,6 +52,14 @@
     ClientRequestId lastId { 0 };
 
 private:
+    // A connection that is opened only to see whether the peer takes it.
+    struct ConnectionCheck {
+        std::unique_ptr<ClientConnection> connection;
+        TimerId timer { 0 };
+    };
+
+    void endCheck(uint64_t id, std::function<void()> callback);
+
     void startWaiting(const Endpoint&);
     bool tryStart(ClientRequestId, OpenRequest&, EndpointPool&);
     std::unique_ptr<ClientConnection> takeConnection(const ClientRequest&, EndpointPool&);
@@ -67,6 +76,9 @@
     void checkProgress(ClientRequestId);
     void removeIfEmpty(const Endpoint&);
     void cancelTimers(OpenRequest&);
+
+    std::unordered_map<uint64_t, ConnectionCheck> m_checks;
+    uint64_t m_lastCheck { 0 };
 };
 
 }
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -380,6 +380,11 @@
     });
 }
 
+void Daemon::carryOut(const Decision::CheckConnection& effect)
+{
+    m_client.checkConnection(effect.endpoint, [this, backend = effect.backend, incarnation = effect.incarnation] { m_driver.handle(Decision::ConnectionRefused { backend, incarnation }); });
+}
+
 void Daemon::carryOut(const Decision::DropConnections& effect)
 {
     m_client.dropConnections(effect.endpoint);
--- a/Services/fulmard/Daemon.h
+++ b/Services/fulmard/Daemon.h
@@ -91,6 +91,7 @@
     void carryOut(const Decision::Effect&);
     void carryOut(const Decision::SendMessage&);
     void carryOut(const Decision::ProbeBackend&);
+    void carryOut(const Decision::CheckConnection&);
     void carryOut(const Decision::DropConnections&);
     void carryOut(const Decision::CallPlatform&);
     void carryOut(const Decision::RecordDecision&);
--- a/Tests/LibControl/MessageGenerators.h
+++ b/Tests/LibControl/MessageGenerators.h
@@ -59,7 +59,7 @@
     case 2:
         return HealthReport { *anyName<BackendId>(), *anyNumber<Incarnation>(), *anyName<InstanceId>(), *rc::gen::arbitrary<bool>(), *rc::gen::inRange(0, 100) / 100.0, *rc::gen::arbitrary<uint64_t>() };
     case 3:
-        return CrashReport { anyFingerprint(), *anyName<BackendId>(), *anyNumber<Incarnation>() };
+        return CrashReport { anyFingerprint(), *anyName<BackendId>(), *anyNumber<Incarnation>(), *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>(), Duration(*rc::gen::inRange(0, 1'000'000)) };
     case 4:
         return ClaimHolder { *anyName<ServiceName>(), *rc::gen::arbitrary<uint32_t>(), *anyName<InstanceId>(), *anyNumber<Incarnation>(), *anyNumber<ClaimEpoch>() };
     default:
--- a/Tests/LibDecision/Admission/TestAdmissionParts.cpp
+++ b/Tests/LibDecision/Admission/TestAdmissionParts.cpp
@@ -197,11 +197,11 @@
 {
     CrashWatch watch;
     Instant now { 1h };
-    watch.addCutRun({ 1, 1 }, now - 1ms, now);
+    watch.addCutRun({ { 1, 1 } }, now - 1ms, now);
     watch.clearCutsUntil(now + 1ms);
     EXPECT_TRUE(watch.takeSuspects(now + 2ms).empty());
 
-    watch.addCutRun({ 1, 1 }, now, now + 3ms);
+    watch.addCutRun({ { 1, 1 } }, now, now + 3ms);
     watch.clearCutsUntil(now + 1ms);
     EXPECT_EQ(watch.takeSuspects(now + 4ms).size(), 1u);
     EXPECT_TRUE(watch.takeSuspects(now + 5ms).empty());
@@ -211,7 +211,7 @@
 {
     CrashWatch watch;
     Instant now { 1h };
-    watch.addCutRun({ 1, 1 }, now - 1ms, now);
+    watch.addCutRun({ { 1, 1 } }, now - 1ms, now);
     EXPECT_TRUE(watch.takeSuspects(now + CrashWatch::confirmationWindow + 1us).empty());
 }
 
@@ -219,8 +219,8 @@
 {
     CrashWatch watch;
     Instant now { 1h };
-    watch.addCutRun({ 1, 1 }, now - 2ms, now);
-    watch.addCutRun({ 2, 2 }, now - 1ms, now + 1ms);
-    watch.addCutRun({ 3, 3 }, now, now + 1ms);
-    EXPECT_EQ(watch.takeSuspects(now + 2ms), (std::vector<Fingerprint> { { 1, 1 }, { 2, 2 } }));
+    watch.addCutRun({ { 1, 1 } }, now - 2ms, now);
+    watch.addCutRun({ { 2, 2 } }, now - 1ms, now + 1ms);
+    watch.addCutRun({ { 3, 3 } }, now, now + 1ms);
+    EXPECT_EQ(watch.takeSuspects(now + 2ms), (std::vector<CrashSuspect> { { { 1, 1 } }, { { 2, 2 } } }));
 }
--- a/Tests/LibDecision/Admission/TestSidecarAdmission.cpp
+++ b/Tests/LibDecision/Admission/TestSidecarAdmission.cpp
@@ -384,6 +384,48 @@
     EXPECT_FALSE(rig.crashGuard.isSuspected(arrival.request.fingerprint, {}, rig.now));
 }
 
+// Backend servers mostly come back under another id, and no other request may meet the refused connection.
+TEST_F(SidecarAdmissionTest, AnUnannouncedReplacementAtTheSameEndpointConfirmsACrash)
+{
+    for (bool saysThatItLeaves : { false, true }) {
+        AdmissionRig replaced;
+        replaced.announce("a", 1, 2);
+        auto arrival = AdmissionRig::arrivalOf(1, "a");
+        replaced.arrive(arrival);
+        replaced.finish(1, failed(AttemptResult::ConnectionLost));
+        auto successor = replaced.backends.find(BackendId("a"))->announcement;
+        if (saysThatItLeaves)
+            replaced.drain("a");
+        successor.id = BackendId("a-2");
+        successor.incarnation = Incarnation(2);
+        replaced.turn([&](Turn& turn) { replaced.backends.announce(turn, successor); });
+        EXPECT_EQ(replaced.crashGuard.isSuspected(arrival.request.fingerprint, {}, replaced.now), !saysThatItLeaves);
+    }
+}
+
+TEST_F(SidecarAdmissionTest, ARefusedConnectionAfterACutConfirmsACrashWithoutOtherRequests)
+{
+    auto arrival = AdmissionRig::arrivalOf(1, "a");
+    rig.arrive(arrival);
+    rig.finish(1, failed(AttemptResult::ConnectionLost));
+    auto checks = effectsOf<CheckConnection>(rig.advance(1s));
+    ASSERT_EQ(checks.size(), 1u);
+    rig.turn([&](Turn& turn) { rig.admission.connectionRefused(turn, checks[0].backend, checks[0].incarnation); });
+    EXPECT_TRUE(rig.crashGuard.isSuspected(arrival.request.fingerprint, {}, rig.now));
+}
+
+TEST_F(SidecarAdmissionTest, ABackendServerThatCutsManyAnswersIsCheckedOnceASecond)
+{
+    size_t checks = 0;
+    for (uint64_t call = 1; call <= 500; ++call) {
+        rig.arrive(AdmissionRig::arrivalOf(call, "a"));
+        rig.finish(call, failed(AttemptResult::ConnectionLost));
+        checks += effectsOf<CheckConnection>(rig.advance(10ms)).size();
+    }
+    EXPECT_GE(checks, 4u);
+    EXPECT_LE(checks, 6u);
+}
+
 TEST_F(SidecarAdmissionTest, SuspectedRequestRunsAlone)
 {
     auto suspect = AdmissionRig::arrivalOf(1, "a");
--- a/Tests/LibDecision/Calls/TestCallTable.cpp
+++ b/Tests/LibDecision/Calls/TestCallTable.cpp
@@ -439,7 +439,7 @@
     auto arrival = CallRig::arrivalOf(1);
     rig.turn([&](Turn& turn) {
         rig.crashGuard.apply(turn, { arrival.request.fingerprint, BackendId("a"), Incarnation(1) });
-        rig.crashGuard.apply(turn, { arrival.request.fingerprint, BackendId("b"), Incarnation(1) });
+        rig.crashGuard.apply(turn, { arrival.request.fingerprint, BackendId("b"), Incarnation(1), true });
     });
     expectRefusal(rig.arrive(arrival), Outcome::NotRun, Reason::CrashSuspected);
     EXPECT_EQ(sendsIn(rig.arrive(CallRig::arrivalOf(2))), 1u);
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -10,7 +10,6 @@
     constexpr Duration connectTimeout = 200ms;
     constexpr Duration platformDelay = 3ms;
     constexpr Duration platformTimeout = 2s;
-    constexpr Duration restartDelay = 2s;
     constexpr Duration leaveTimeout = 20s;
 
     size_t indexOf(const BackendId& id) { return std::stoul(id.value().substr(std::string("backend-").size())); }
@@ -426,7 +425,7 @@
     auto& request = m_requests[m_requestById.at(run.request.id)];
     run.isRepeat = request.arrivals > 0 || request.isCallOfRepeat;
     ++request.arrivals;
-    m_arrivals.push_back({ backendService, run.backend, request.ingress, m_generations[request.ingress], request.sentAt, m_fleet.now(), run.isRepeat });
+    m_arrivals.push_back({ backendService, run.backend, request.ingress, m_generations[request.ingress], request.sentAt, m_fleet.now(), run.isRepeat, run.request.fingerprint });
 }
 
 void NodeFleet::makeCall(SidecarKey key, const FakeBackend& backend)
@@ -487,7 +486,7 @@
     }
     for (const auto& key : interruptedRuns)
         finishRun(key, AttemptResult::ConnectionLost, 0);
-    m_fleet.callLater(restartDelay, [this, index] {
+    m_fleet.callLater(m_options.backendDownTime, [this, index] {
         m_backends[index].isUp = true;
         m_backends[index].incarnation = m_backends[index].incarnation.next();
         if (m_fleet.isRunning(m_backends[index].node))
@@ -507,6 +506,12 @@
     m_fleet.deliverLater(node, report.elapsed, ProbeFinished { effect.backend, report });
 }
 
+void NodeFleet::carryOut(size_t node, const CheckConnection& effect)
+{
+    if (!m_backends[indexOf(effect.backend)].isUp)
+        m_fleet.deliverLater(node, 1ms, ConnectionRefused { effect.backend, effect.incarnation });
+}
+
 void NodeFleet::carryOut(size_t node, const AnswerCall& effect)
 {
     auto notice = m_attemptNotices.find({ effect.call, effect.attempt });
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -92,6 +92,7 @@
     Instant at;
     // Not the request's first arrival, or made by such a run.
     bool isRepeat { false };
+    Fingerprint fingerprint;
 };
 
 // A process passed on an answer in which a backend server said something of its own state.
@@ -110,6 +111,8 @@
     std::shared_ptr<const RouteTable> routes;
     // Whether a backend server whose sidecar has died waits for the sidecar's successor instead of moving elsewhere.
     bool areBackendsTied { false };
+    // How long a backend server that crashed is down.
+    Duration backendDownTime { 2s };
     // Whether processes know some others from the start, rather than only from the store.
     bool knowsSeeds { true };
 };
@@ -133,6 +136,8 @@
     void leave(size_t node);
     void pause(size_t node, Duration);
     void drain(size_t backend);
+    // Ends the backend server's process and all that it runs. It comes back after a while.
+    void crash(size_t backend);
     // Starts another process beside those that there are. Returns its index.
     size_t addNode();
     // Brings the store back from its snapshot. Calls that wait there get no answer.
@@ -205,6 +210,7 @@
     void carryOut(size_t node, const KeepAnswer&);
     void carryOut(size_t node, const ForgetAnswer&);
     void carryOut(size_t node, const ProbeBackend&);
+    void carryOut(size_t node, const CheckConnection&);
     void carryOut(size_t node, const CallPlatform&);
     void carryOut(size_t node, const RecordDecision&);
     void carryOut(size_t node, const Leave&);
@@ -219,7 +225,6 @@
     void countArrival(Run&, const ServiceName&);
     // Makes the call that the run needs. The run ends with the call's outcome.
     void makeCall(SidecarKey, const FakeBackend&);
-    void crash(size_t backend);
     void platformReply(size_t node, uint32_t generation, const CallPlatform&, Instant end);
     void answerWatches();
     void recordOutcome(size_t node, CallId, CallerOutcome, Reason, RequestId answerOf);
--- a/Tests/LibTransport/TestHttpClient.cpp
+++ b/Tests/LibTransport/TestHttpClient.cpp
@@ -161,6 +161,21 @@
     EXPECT_EQ(client.counters().connectionsOpen, 0u);
 }
 
+TEST_F(HttpClientFaults, ChecksWhetherAPeerTakesConnections)
+{
+    size_t refusals = 0;
+    Model::Endpoint endpoint;
+    {
+        RawServer server([](RawConnection& connection) { connection.waitForClose(); });
+        endpoint = server.endpoint();
+        client.checkConnection(endpoint, [&] { ++refusals; });
+        runUntil([] { return false; }, 50ms);
+        EXPECT_EQ(refusals, 0u);
+    }
+    client.checkConnection(endpoint, [&] { ++refusals; });
+    EXPECT_TRUE(runUntil([&] { return refusals == 1; }));
+}
+
 TEST_F(HttpClientFaults, TellsThatNothingWasSentIfTheRequestCannotBeWritten)
 {
     RawServer server(answerAndClose(sizedAnswer));
