LibTransport: Deliver answers whole before a connection closes behind the next request

Cause: the next request lies unread while the first one waits. The library closes once the answer is in the kernel, and a close with unread bytes resets the connection, so the kernel drops what the caller's window hadn't taken.

Change: A connection that closes after an answer lingers, as those of refused bodies did already: only the sending side is closed, and what comes is dropped until the caller closes. The same holds for every close after an answer, and a process that leaves ends once its answers are written and callers have closed, at most 0.5 s later. Requests behind a closing answer count as not read.

Evidence: DeliversAnAnswerWholeBeforeItClosesBehindTheNextRequest fails without it.

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -203,7 +203,7 @@
     connections.erase(connection->key);
     if (connection->lingerDescriptor != -1) {
         auto& shared = *loop.m_implementation;
-        shared.retired.push_back(std::make_unique<LingeringClose>(loop, shared.loop, connection->lingerDescriptor));
+        shared.retired.push_back(std::make_unique<LingeringClose>(loop, shared.loop, connection->lingerDescriptor, lingering));
     }
     delete connection;
 }
@@ -212,9 +212,11 @@
 {
     auto* memory = h2o_mem_alloc_shared(&request->pool, sizeof(RequestAnchor), [](void* data) {
         auto* anchor = static_cast<RequestAnchor*>(data);
+        --anchor->server->openExchanges;
         anchor->server->requestDisposed(anchor->id);
         anchor->~RequestAnchor();
     });
+    ++openExchanges;
     return new (memory) RequestAnchor { this, id, {} };
 }
 
@@ -338,9 +340,18 @@
     // The library itself says so on HTTP/2 only.
     if (context.shutdown_requested || closesAfterAnswers)
         pending->request->http1_is_persistent = 0;
+    // The peer may have sent its next request already.
+    if (pending->connection && !pending->request->http1_is_persistent)
+        lingerAfterClose(*pending->connection);
     writeResponse(*pending->request, std::move(response), pending->anchor->body);
 }
 
+void HttpServer::Implementation::lingerAfterClose(ServerConnection& connection)
+{
+    if (connection.lingerDescriptor == -1)
+        connection.lingerDescriptor = fcntl(h2o_socket_get_fd(connection.socket), F_DUPFD_CLOEXEC, 0);
+}
+
 void HttpServer::Implementation::cut(ServerRequestId id, HttpResponse response, size_t bodyBytes)
 {
     auto pending = take(id);
@@ -366,8 +377,8 @@
     bool isOurs = request->_generator == responseGenerator();
     if (isOurs || request->res.status != contentTooLarge)
         return;
-    if (connection->lingerDescriptor == -1 && request->version < http2Version)
-        connection->lingerDescriptor = fcntl(h2o_socket_get_fd(connection->socket), F_DUPFD_CLOEXEC, 0);
+    if (request->version < http2Version)
+        lingerAfterClose(*connection);
 
     auto response = bodyTooLarge();
     auto body = h2o_strdup(&request->pool, response.body.data(), response.body.size());
@@ -405,6 +416,10 @@
 
 Endpoint HttpServer::endpoint() const { return m_implementation->endpoint; }
 
+bool HttpServer::hasUnwrittenAnswers() const { return m_implementation->openExchanges > 0; }
+
+size_t HttpServer::lingeringConnections() const { return *m_implementation->lingering; }
+
 size_t HttpServer::openRequests() const { return m_implementation->requests.size(); }
 
 void HttpServer::closeAfterAnswers() { m_implementation->closesAfterAnswers = true; }
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -44,6 +44,10 @@
     // The endpoint with the port in use.
     Endpoint endpoint() const;
     size_t openRequests() const;
+    // Whether a request is unanswered, or an answer hasn't been handed to the system whole.
+    bool hasUnwrittenAnswers() const;
+    // Connections that this side has closed after an answer, and whose peers haven't yet.
+    size_t lingeringConnections() const;
 
     // Goes on taking connections, but ends each one after its next answer.
     void closeAfterAnswers();
--- a/Libraries/LibTransport/HttpServerImplementation.h
+++ b/Libraries/LibTransport/HttpServerImplementation.h
@@ -4,6 +4,7 @@
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/PeerCloseWatch.h>
 
+#include <memory>
 #include <optional>
 #include <unordered_map>
 
@@ -70,6 +71,10 @@
     uint64_t lastConnectionKey { 0 };
     PeerCloseWatch peerCloses;
     ServerRequestId lastId { 0 };
+    // Requests that are being answered or will be, with those whose answer is still being written.
+    size_t openExchanges { 0 };
+    // Connections that are closed but for what their peers still send.
+    std::shared_ptr<size_t> lingering { std::make_shared<size_t>(0) };
     bool closesAfterAnswers { false };
     // False once the HttpServer is gone: its callbacks are no longer called.
     bool hasOwner { true };
@@ -81,6 +86,7 @@
     void adopt(h2o_socket_t*);
     RequestAnchor* anchorFor(h2o_req_t*, ServerRequestId);
     void peerClosed(uint64_t connectionKey);
+    void lingerAfterClose(ServerConnection&);
     std::optional<PendingRequest> take(ServerRequestId);
     void abandon(ServerConnection&);
     void endUnanswered(ServerConnection&);
--- a/Libraries/LibTransport/LingeringClose.cpp
+++ b/Libraries/LibTransport/LingeringClose.cpp
@@ -1,15 +1,19 @@
 #include <LibTransport/LingeringClose.h>
 
+#include <utility>
+
 namespace Transport {
 
 static constexpr Duration longestLinger = 5s;
 static constexpr uint64_t maximumDroppedBytes = 64u << 20;
 
-LingeringClose::LingeringClose(EventLoop& loop, h2o_evloop_t* evloop, int descriptor)
+LingeringClose::LingeringClose(EventLoop& loop, h2o_evloop_t* evloop, int descriptor, std::shared_ptr<size_t> count)
     : m_loop(loop)
+    , m_count(std::move(count))
     , m_socket(h2o_evloop_socket_create(evloop, descriptor, 0))
     , m_timeout(loop.callAt(loop.now() + longestLinger, [this] { m_isFinished = true; }))
 {
+    ++*m_count;
     shutdown(descriptor, SHUT_WR);
     m_socket->data = this;
     h2o_socket_read_start(m_socket, [](h2o_socket_t* socket, const char* error) {
@@ -19,6 +23,7 @@
 
 LingeringClose::~LingeringClose()
 {
+    --*m_count;
     m_loop.cancelTimer(m_timeout);
     h2o_socket_close(m_socket);
 }
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -22,6 +22,11 @@
     constexpr uint32_t connectionsPerPeer = 2;
     constexpr auto peerIdleTimeout = std::chrono::seconds(10);
     constexpr uint32_t probeConnections = 1;
+    // At the end of a process: callers close their side once they have read an answer that closes the connection.
+    constexpr auto longestLinger = std::chrono::milliseconds(500);
+    // Time for the last answers if the process has used up its time to leave.
+    constexpr auto shortestDelivery = std::chrono::milliseconds(200);
+    constexpr auto deliveryCheckInterval = std::chrono::milliseconds(10);
 
     Transport::HttpResponse plainResponse(uint16_t status, const std::string& text)
     {
@@ -143,6 +148,7 @@
 
 void Daemon::leave()
 {
+    m_leaveRequestedAt = m_loop.now();
     m_callersServer.closeAfterAnswers();
     m_driver.handle(Decision::LeaveRequested {});
 }
@@ -404,6 +410,20 @@
 {
     m_callersServer.stopAccepting();
     m_controlServer.stopAccepting();
+    auto now = m_loop.now();
+    endWhenDelivered(now + longestLinger, std::max(m_leaveRequestedAt + m_options.settings.leaveTimeout, now + shortestDelivery));
+}
+
+// A process that ends resets its connections, and whoever reads slowly loses the rest of an answer.
+void Daemon::endWhenDelivered(Instant lingerUntil, Instant end)
+{
+    auto now = m_loop.now();
+    auto isWriting = m_callersServer.hasUnwrittenAnswers() || m_controlServer.hasUnwrittenAnswers();
+    auto isLingering = m_callersServer.lingeringConnections() + m_controlServer.lingeringConnections() > 0 && now < lingerUntil;
+    if ((isWriting || isLingering) && now < end) {
+        m_loop.callAt(now + deliveryCheckInterval, [this, lingerUntil, end] { endWhenDelivered(lingerUntil, end); });
+        return;
+    }
     if (m_options.onLeft)
         m_options.onLeft();
 }
--- a/Services/fulmard/Daemon.h
+++ b/Services/fulmard/Daemon.h
@@ -96,6 +96,7 @@
     void carryOut(const Decision::CallPlatform&);
     void carryOut(const Decision::RecordDecision&);
     void carryOut(const Decision::Leave&);
+    void endWhenDelivered(Instant lingerUntil, Instant end);
 
     Transport::EventLoop& m_loop;
     DaemonOptions m_options;
@@ -113,6 +114,7 @@
     IngressCalls m_ingressCalls;
     std::unordered_map<Transport::ServerRequestId, SidecarCallId> m_remoteRuns;
     NodeDriver m_driver;
+    Instant m_leaveRequestedAt;
     OperatorApi m_operatorApi;
 };
 
--- a/Tests/LibTransport/TestHttpServer.cpp
+++ b/Tests/LibTransport/TestHttpServer.cpp
@@ -230,6 +230,31 @@
     EXPECT_EQ(requests.size(), 1u);
 }
 
+// A close with unread bytes resets the connection, and what the caller hasn't read of the answer is lost.
+TEST_F(HttpServerConnections, DeliversAnAnswerWholeBeforeItClosesBehindTheNextRequest)
+{
+    holdsAnswers = true;
+    RawClient client(server->endpoint());
+    client.send(getRequest);
+    ASSERT_TRUE(runUntil([&] { return held.size() == 1; }));
+    client.send(getRequest);
+    loop.runOnce(20ms);
+    server->closeAfterAnswers();
+    std::string body(8u << 20, 'x');
+    server->respond(held[0], { 200, {}, body });
+    loop.runOnce(20ms);
+    EXPECT_TRUE(server->hasUnwrittenAnswers());
+
+    auto text = client.readToEnd(loop);
+    EXPECT_TRUE(text.starts_with("HTTP/1.1 200 OK"));
+    EXPECT_TRUE(text.ends_with("\r\n\r\n" + body)) << text.size() << " bytes";
+    EXPECT_FALSE(server->hasUnwrittenAnswers());
+    EXPECT_EQ(server->lingeringConnections(), 1u);
+    client.close();
+    EXPECT_TRUE(runUntil([&] { return server->lingeringConnections() == 0; }));
+    EXPECT_EQ(requests.size(), 1u);
+}
+
 TEST_F(HttpServerConnections, GivesNoAnswerToACallerThatClosedItsSide)
 {
     holdsAnswers = true;
