LibDecision: Remember and publish withdrawals that come before the announcement

Cause: a process that had just started didn't know the backend server, answered 404 to the withdrawal and remembered nothing; an announcement from before then began a life as ready. Related: a leaving process ignored unknown backend servers also when they said that they leave, and one that had lapsed before it left or was drained wasn't published, so that the next process beside it didn't know.

Change: a withdrawal of an unknown backend server is remembered for a minute, bounded to 256, and means every incarnation up to its time, which the platform's adapter tells. A record that the fleet has from a predecessor of the process is published as leaving for good. A leaving process hears out who leaves, and what becomes known of a gone backend server is published.

--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -119,6 +119,8 @@
 // A backend server withdrew its announcement.
 struct BackendWithdrawn {
     BackendId backend;
+    // No incarnation that the withdrawal can mean is higher. Empty if it means the one that this process knows.
+    std::optional<Incarnation> latest;
 };
 
 // An operator asked this process to drain one of its backend servers.
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -215,12 +215,25 @@
 
 void NodeState::receive(Turn& turn, const BackendWithdrawn& withdrawn)
 {
-    auto known = m_localBackends.find(withdrawn.backend);
-    if (!known)
+    const auto* known = m_registry.find(withdrawn.backend);
+    auto latest = withdrawn.latest;
+    if (!latest && known)
+        latest = known->incarnation;
+    m_localBackends.withdraw(turn, withdrawn.backend, latest.value_or(Incarnation()));
+    if (known)
+        retireWithdrawn(turn, *known);
+}
+
+// The fleet knows the backend server from a predecessor of this process, which hasn't heard an announcement of its own.
+void NodeState::retireWithdrawn(Turn& turn, const BackendRecord& record)
+{
+    bool isOwn = record.sidecar == m_membership.self().instance;
+    if (!isOwn || record.isLeaving || !m_localBackends.wasWithdrawnUnknown(record.id, record.incarnation))
         return;
-    auto announcement = known->announcement;
-    announcement.phase = BackendPhase::Gone;
-    m_localBackends.announce(turn, announcement);
+    auto gone = record;
+    gone.isLeaving = true;
+    gone.phase = BackendPhase::Gone;
+    turn.spread(gone, Urgency::Immediate);
 }
 
 void NodeState::receive(Turn& turn, const PlatformReplied& replied)
@@ -280,6 +293,7 @@
         m_localBackends.supersede(turn, record);
     m_health.backendChanged(turn, record);
     m_router.backendChanged(turn, record);
+    retireWithdrawn(turn, record);
 }
 
 void NodeState::correctSidecar(Turn& turn, const BackendRecord& record)
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -77,6 +77,7 @@
     void correctSidecar(Turn&, const BackendRecord&);
     void applyRecord(Turn&, const HealthReport&);
     void applyRecord(Turn&, const CrashReport&);
+    void retireWithdrawn(Turn&, const BackendRecord&);
     void tellCrashes(Turn&, const Message&) const;
     void applyRecord(Turn&, const ClaimHolder&);
     void applyRecord(Turn&, const ProfileRevision&);
--- a/Libraries/LibDecision/Registry/LocalBackends.cpp
+++ b/Libraries/LibDecision/Registry/LocalBackends.cpp
@@ -75,12 +75,15 @@
 
 void LocalBackends::announce(Turn& turn, const BackendAnnouncement& announcement)
 {
-    if (hasSuccessor(announcement))
+    forgetOldWithdrawals(turn.now());
+    if (wasWithdrawnUnknown(announcement.id, announcement.incarnation) || hasSuccessor(announcement))
         return;
     endPredecessors(turn, announcement);
     auto entry = m_backends.find(announcement.id);
     if (entry == m_backends.end()) {
-        if (m_isLeaving || announcement.phase == BackendPhase::Gone)
+        // Who says that it leaves is heard until the end: the successor of this process may get an older announcement.
+        bool saysItLeaves = announcement.phase == BackendPhase::Draining || announcement.phase == BackendPhase::Gone;
+        if (m_isLeaving && !saysItLeaves)
             return;
         auto& backend = m_backends[announcement.id];
         restart(turn, backend, announcement);
@@ -120,9 +123,7 @@
         if (!isPredecessor)
             continue;
         known.wasReplacedUnannounced = !known.isLeavingForGood;
-        known.isLeaving = true;
-        known.isLeavingForGood = true;
-        transition(turn, known, BackendLifecycleEvent::Withdrawn, "backend server " + announcement.id.value() + " was announced at its endpoint");
+        endForGood(turn, known, "backend server " + announcement.id.value() + " was announced at its endpoint");
         scheduleTimer(known, turn.now());
     }
 }
@@ -130,12 +131,45 @@
 bool LocalBackends::drain(Turn& turn, const BackendId& id)
 {
     auto entry = m_backends.find(id);
-    if (entry == m_backends.end() || entry->second.phase == BackendPhase::Gone)
+    if (entry == m_backends.end())
         return false;
     retire(turn, id, entry->second.announcement.incarnation, "drain requested");
     return true;
 }
 
+void LocalBackends::withdraw(Turn& turn, const BackendId& id, Incarnation latest)
+{
+    auto entry = m_backends.find(id);
+    if (entry != m_backends.end()) {
+        auto announcement = entry->second.announcement;
+        announcement.phase = BackendPhase::Gone;
+        announce(turn, announcement);
+        return;
+    }
+    m_withdrawals.push_back({ id, latest, turn.now() });
+    forgetOldWithdrawals(turn.now());
+    DecisionEvent event;
+    event.kind = DecisionKind::BackendGone;
+    event.step = "announce";
+    event.peer = m_self.instance.value();
+    event.backend = id;
+    event.evidence = "withdrawn before it was announced to this process, up to incarnation " + std::to_string(latest.value());
+    turn.recordDecision(std::move(event));
+}
+
+bool LocalBackends::wasWithdrawnUnknown(const BackendId& id, Incarnation incarnation) const
+{
+    return std::ranges::any_of(m_withdrawals, [&](const Withdrawal& withdrawal) {
+        return withdrawal.backend == id && incarnation <= withdrawal.latest;
+    });
+}
+
+void LocalBackends::forgetOldWithdrawals(Instant now)
+{
+    while (m_withdrawals.size() > maximumWithdrawals || (!m_withdrawals.empty() && now - m_withdrawals.front().at >= withdrawalRetention))
+        m_withdrawals.pop_front();
+}
+
 void LocalBackends::retire(Turn& turn, const BackendId& id, Incarnation incarnation, const std::string& evidence)
 {
     auto entry = m_backends.find(id);
@@ -233,7 +267,8 @@
     m_drainDeadlines.erase(announcement.id);
     publish(turn, backend);
     explain(turn, backend, DecisionKind::BackendAnnounced, "incarnation " + std::to_string(announcement.incarnation.value()) + " with " + std::to_string(announcement.slots) + " slots");
-    applyAnnouncedPhase(turn, backend, m_isLeaving ? BackendPhase::Draining : announcement.phase);
+    bool isDrainedByProcess = m_isLeaving && announcement.phase != BackendPhase::Gone;
+    applyAnnouncedPhase(turn, backend, isDrainedByProcess ? BackendPhase::Draining : announcement.phase);
     scheduleTimer(backend, turn.now());
 }
 
@@ -254,13 +289,22 @@
             startDrain(turn, backend, "the process leaves");
         return;
     case BackendPhase::Gone:
-        backend.isLeaving = true;
-        backend.isLeavingForGood = true;
-        transition(turn, backend, BackendLifecycleEvent::Withdrawn, "announced as gone");
+        endForGood(turn, backend, "announced as gone");
         return;
     }
 }
 
+void LocalBackends::endForGood(Turn& turn, LocalBackend& backend, const std::string& evidence)
+{
+    backend.isLeaving = true;
+    bool isNews = !std::exchange(backend.isLeavingForGood, true);
+    auto phase = backend.phase;
+    transition(turn, backend, BackendLifecycleEvent::Withdrawn, evidence);
+    // The fleet may know it as one that only lapsed.
+    if (isNews && backend.phase == phase)
+        publish(turn, backend);
+}
+
 void LocalBackends::transition(Turn& turn, LocalBackend& backend, BackendLifecycleEvent event, const std::string& evidence)
 {
     auto phase = m_chart.next(backend.phase, event);
--- a/Libraries/LibDecision/Registry/LocalBackends.h
+++ b/Libraries/LibDecision/Registry/LocalBackends.h
@@ -6,6 +6,7 @@
 #include <LibDecision/TimerQueue.h>
 #include <LibDecision/Turn.h>
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -42,6 +43,12 @@
     // Gone backend servers are kept for this time, so that late announcements of the same incarnation are recognised.
     static constexpr Duration goneRetention = 10min;
 
+    // Announcements aren't delayed for longer than this. If an incarnation is mistaken for one that was withdrawn, because
+    // the clock was set back, it serves after this time.
+    static constexpr Duration withdrawalRetention = 1min;
+    // Maximum number of withdrawals of unknown backend servers remembered; the oldest one is forgotten first.
+    static constexpr size_t maximumWithdrawals = 256;
+
     // If a timer fires later than this, the process itself was paused.
     static constexpr Duration pauseTolerance = 1s;
     // Time after such a pause in which a renewal may still arrive before an announcement lapses.
@@ -55,8 +62,13 @@
     // Takes a first announcement or a renewal. One with a lower incarnation than the known one is ignored. A backend server
     // that is announced at the endpoint of another one with a lower incarnation has replaced that one.
     void announce(Turn&, const BackendAnnouncement&);
-    // Starts to drain one backend server. Returns false if it is unknown or gone.
+    // Starts to drain one backend server. Returns false if it is unknown.
     bool drain(Turn&, const BackendId&);
+    // Takes a withdrawal. That of a backend server that is unknown here is remembered, since announcements from before it may
+    // still arrive; it means all incarnations up to the latest one.
+    void withdraw(Turn&, const BackendId&, Incarnation latest);
+    // True if this incarnation withdrew before it was announced to this process.
+    bool wasWithdrawnUnknown(const BackendId&, Incarnation) const;
     // Starts to drain the backend server if this incarnation is known here: it was heard to leave for good.
     void retire(Turn&, const BackendId&, Incarnation, const std::string& evidence);
     // Starts to drain all backend servers because this process leaves. Later announcements of unknown ones are ignored.
@@ -76,11 +88,19 @@
     std::vector<BackendId> takeChanged();
 
 private:
+    struct Withdrawal {
+        BackendId backend;
+        Incarnation latest;
+        Instant at;
+    };
+
+    void forgetOldWithdrawals(Instant now);
     // Returns true if a backend server with a higher incarnation is known at the endpoint, so that the announcement is late.
     bool hasSuccessor(const BackendAnnouncement&) const;
     // Ends the backend servers that this one has replaced at its endpoint.
     void endPredecessors(Turn&, const BackendAnnouncement&);
     void startDrain(Turn&, LocalBackend&, const std::string& evidence);
+    void endForGood(Turn&, LocalBackend&, const std::string& evidence);
     void extendAnnouncement(LocalBackend&, Instant now);
     void expireOverdue(Turn&, LocalBackend&);
     void restart(Turn&, LocalBackend&, const BackendAnnouncement&);
@@ -96,6 +116,8 @@
     TypedChart<BackendPhase, BackendLifecycleEvent> m_chart;
     std::unordered_map<BackendId, LocalBackend> m_backends;
     std::unordered_map<BackendId, Instant> m_drainDeadlines;
+    // Of backend servers that were unknown at the time, oldest first.
+    std::deque<Withdrawal> m_withdrawals;
     TimerQueue<BackendId> m_timers;
     std::unordered_set<BackendId> m_changed;
     // Shared by all backend servers, so that no version is used twice even after a backend server has been removed.
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -285,11 +285,12 @@
 Transport::HttpResponse Daemon::withdraw(const BackendId& backend, const std::string& peerAddress)
 {
     auto known = node().state().localBackends().find(backend);
-    if (!known)
+    const auto& latestIncarnation = m_options.platform.latestIncarnation;
+    if (!known && !latestIncarnation && !node().state().registry().find(backend))
         return plainResponse(404, "backend server " + backend.value() + " hasn't announced itself to this process");
-    if (known->announcement.endpoint.address != peerAddress)
+    if (known && known->announcement.endpoint.address != peerAddress)
         return plainResponse(403, "the backend server's address differs from the sender's address " + peerAddress);
-    m_driver.handle(Decision::BackendWithdrawn { backend });
+    m_driver.handle(Decision::BackendWithdrawn { backend, latestIncarnation ? std::optional(latestIncarnation()) : std::nullopt });
     return { 204, {}, "" };
 }
 
--- a/Services/fulmard/Daemon.h
+++ b/Services/fulmard/Daemon.h
@@ -30,6 +30,8 @@
     std::function<StoreFunction(Transport::EventLoop&)> openStore;
     // Reads a backend server's announcement of itself from its id and the body. Throws Model::Error.
     std::function<BackendAnnouncement(const std::string&, std::string_view)> readAnnouncement;
+    // Gives the highest incarnation that a backend server which withdraws now can have; empty if incarnations tell no time.
+    std::function<Incarnation()> latestIncarnation;
 };
 
 struct DaemonOptions {
--- a/Services/fulmard/main.cpp
+++ b/Services/fulmard/main.cpp
@@ -48,10 +48,10 @@
 {
     if (settings.platformApi == Model::PlatformApi::Consul) {
         Platform::ConsulStoreSettings store { settings.platform };
-        return { [store](Transport::EventLoop& loop) { return openStore<Platform::ConsulStore>(loop, store); }, Fulmard::readAnnouncement };
+        return { [store](Transport::EventLoop& loop) { return openStore<Platform::ConsulStore>(loop, store); }, Fulmard::readAnnouncement, {} };
     }
     auto endpoint = settings.platform.front();
-    return { [endpoint](Transport::EventLoop& loop) { return openStore<PlatformAdapter::RevisionStore>(loop, endpoint); }, PlatformAdapter::readInstanceReport };
+    return { [endpoint](Transport::EventLoop& loop) { return openStore<PlatformAdapter::RevisionStore>(loop, endpoint); }, PlatformAdapter::readInstanceReport, PlatformAdapter::latestIncarnation };
 }
 
 // The product's settings file, or the one that the platform gives.
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -208,6 +208,12 @@
         m_fleet.deliver(backend.node, BackendAnnounced { announcementOf(backend) });
 }
 
+void NodeFleet::withdraw(size_t index)
+{
+    const auto& backend = m_backends[index];
+    m_fleet.deliver(backend.node, BackendWithdrawn { backend.id, backend.incarnation });
+}
+
 void NodeFleet::failForwardedCallsOf(size_t node)
 {
     // The processes at the other ends of the connections see them close.
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -136,6 +136,8 @@
     void leave(size_t node);
     void pause(size_t node, Duration);
     void drain(size_t backend);
+    // Delivers the backend server's withdrawal. It goes on announcing itself, as if those announcements were late.
+    void withdraw(size_t backend);
     // Ends the backend server's process and all that it runs. It comes back after a while.
     void crash(size_t backend);
     // Starts another process beside those that there are. Returns its index.
--- a/Tests/LibDecision/Node/TestLeavingLoad.cpp
+++ b/Tests/LibDecision/Node/TestLeavingLoad.cpp
@@ -33,3 +33,46 @@
         EXPECT_EQ(late, 0) << "seed " << seed;
     }
 }
+
+namespace {
+
+// A process is restarted, the backend server beside it withdraws before it has announced itself to the new one, and goes on
+// announcing that it serves. Gives the arrivals later than the bound of a drain.
+size_t arrivalsAfterWithdrawal(uint64_t seed, Duration withdrawnAfter, bool endsAgain)
+{
+    constexpr Duration drainBound = 2s;
+    constexpr size_t nodeCount = 4;
+    NodeFleet fleet(seed, nodeCount, { .areBackendsTied = true });
+    for (size_t node = 0; node < nodeCount; ++node)
+        fleet.addBackend("desk", node);
+    fleet.runFor(20s);
+    fleet.kill(0);
+    fleet.restart(0);
+    fleet.runFor(withdrawnAfter);
+    fleet.withdraw(0);
+    auto bound = fleet.fleet().now() + drainBound;
+    if (endsAgain) {
+        fleet.runFor(300ms);
+        fleet.kill(0);
+        fleet.restart(0);
+    }
+    for (size_t number = 0; number < 1000; ++number) {
+        fleet.send(number % nodeCount, fleet.makeRequest("desk", Method::Get));
+        fleet.runFor(10ms);
+    }
+    return std::ranges::count_if(fleet.arrivals(), [&](const BackendArrival& arrival) { return arrival.backend == 0 && arrival.at > bound; });
+}
+
+}
+
+TEST(LeavingLoad, AWithdrawalToAProcessThatHasJustStartedHoldsAgainstLateAnnouncements)
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed)
+        EXPECT_EQ(arrivalsAfterWithdrawal(seed, 50ms * static_cast<int64_t>(seed), false), 0u) << "seed " << seed;
+}
+
+TEST(LeavingLoad, AWithdrawalOutlivesTheProcessThatConfirmedIt)
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed)
+        EXPECT_EQ(arrivalsAfterWithdrawal(seed, 50ms * static_cast<int64_t>(seed), true), 0u) << "seed " << seed;
+}
--- a/Tests/LibDecision/Registry/TestLocalBackends.cpp
+++ b/Tests/LibDecision/Registry/TestLocalBackends.cpp
@@ -205,6 +205,57 @@
     EXPECT_EQ(fixture.phase(), BackendPhase::Draining);
 }
 
+// Some backend servers withdraw to a process that has just started, and an announcement from before comes seconds later.
+TEST(LocalBackends, ALateAnnouncementDoesNotBringBackWhatWithdrewBeforeItWasKnown)
+{
+    LocalBackendsFixture fixture;
+    fixture.turn([&](Turn& turn) { fixture.backends.withdraw(turn, BackendId("a"), Incarnation(5)); });
+    fixture.advance(3s);
+    fixture.announce(announcementOf(5));
+    EXPECT_EQ(fixture.backends.find(BackendId("a")), nullptr);
+    fixture.announce(announcementOf(6));
+    EXPECT_EQ(fixture.phase(), BackendPhase::Serving) << "a later start under the same id serves";
+}
+
+TEST(LocalBackends, RemembersWithdrawalsOfUnknownBackendServersForABoundedTime)
+{
+    LocalBackendsFixture fixture;
+    fixture.turn([&](Turn& turn) { fixture.backends.withdraw(turn, BackendId("a"), Incarnation(5)); });
+    fixture.advance(LocalBackends::withdrawalRetention);
+    fixture.announce(announcementOf(5));
+    EXPECT_EQ(fixture.phase(), BackendPhase::Serving);
+}
+
+// Otherwise the successor of the process takes a late announcement for that of a server that lives.
+TEST(LocalBackends, PublishesThatABackendServerLeavesAlsoAfterItLapsed)
+{
+    for (auto phase : { BackendPhase::Draining, BackendPhase::Gone }) {
+        LocalBackendsFixture fixture;
+        fixture.announce(announcementOf(1));
+        fixture.advance(20s);
+        ASSERT_EQ(fixture.phase(), BackendPhase::Gone);
+        ASSERT_FALSE(fixture.records.back().isLeaving);
+        fixture.announce(announcementOf(1, phase));
+        EXPECT_TRUE(fixture.records.back().isLeaving);
+    }
+    LocalBackendsFixture fixture;
+    fixture.announce(announcementOf(1));
+    fixture.advance(20s);
+    fixture.drain();
+    EXPECT_TRUE(fixture.records.back().isLeaving);
+}
+
+TEST(LocalBackends, ALeavingProcessPublishesThatAnUnknownBackendServerLeaves)
+{
+    for (auto phase : { BackendPhase::Draining, BackendPhase::Gone }) {
+        LocalBackendsFixture fixture;
+        fixture.turn([&](Turn& turn) { fixture.backends.drainAll(turn); });
+        fixture.announce(announcementOf(1, phase));
+        ASSERT_FALSE(fixture.records.empty());
+        EXPECT_TRUE(fixture.records.back().isLeaving);
+    }
+}
+
 RC_GTEST_PROP(LocalBackendsProperties, VersionsIncreaseAndALeavingIncarnationNeverServesAgain, (const std::vector<std::tuple<uint8_t, uint8_t, uint8_t>>& steps))
 {
     LocalBackendsFixture fixture;
