--- a/Libraries/LibDecision/Admission/CrashGuard.cpp
+++ b/Libraries/LibDecision/Admission/CrashGuard.cpp
@@ -1,7 +1,6 @@
 #include <LibDecision/Admission/CrashGuard.h>
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace Decision {
@@ -81,12 +80,12 @@
 std::vector<CrashReport> CrashGuard::newestReports(Instant now, size_t maximum) const
 {
     std::vector<CrashReport> reports;
-    for (const auto& suspect : std::ranges::reverse_view(m_suspects)) {
-        for (const auto& victim : suspect.victims) {
+    for (auto suspect = m_suspects.rbegin(); suspect != m_suspects.rend(); ++suspect) {
+        for (const auto& victim : suspect->victims) {
             if (reports.size() == maximum)
                 return reports;
             if (victim.isConfirmed)
-                reports.push_back(reportOf(suspect, victim, now));
+                reports.push_back(reportOf(*suspect, victim, now));
         }
     }
     return reports;
