LibModel: Describe tenants, public routes and routes that can't be used

Callers of a deployment whose configuration names tenants get no service today, because the configuration is refused as a whole.

Adds Tenant and TenantTerms, the new fields of Route, RouteTable and CallArrived, and the reasons of the new refusals.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -57,6 +57,19 @@
     archive.field("latencyObjective", value.latencyObjective);
     archive.field("priority", value.priority);
     archive.field("maximumAttempts", value.maximumAttempts);
+    archive.optionalField("isPublic", value.isPublic);
+    archive.optionalField("hasLargeBodies", value.hasLargeBodies);
+    archive.optionalField("problem", value.problem);
+}
+
+template <typename Archive>
+void describe(Archive& archive, Tenant& value)
+{
+    archive.field("name", value.name);
+    archive.field("keyDigests", value.keyDigests);
+    archive.optionalField("priority", value.priority);
+    archive.optionalField("requestsPerSecond", value.requestsPerSecond);
+    archive.optionalField("burst", value.burst);
 }
 
 template <typename Archive>
@@ -83,6 +96,7 @@
     archive.field("routes", value.routes);
     archive.field("services", value.services);
     archive.field("limits", value.limits);
+    archive.optionalField("tenants", value.tenants);
 }
 
 inline const char* kindOf(const ProfileRevision&) { return "profile"; }
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -36,6 +36,10 @@
     std::string authority;
     // The terms of the request's route; empty if the profile's terms apply.
     std::optional<CallTerms> terms;
+    // Digest of the request's API key, as in Model::Tenant; empty if it has none.
+    std::string keyDigest;
+    // Time that the machine has spent suspended since its start, read after the request's bytes. Instants don't count it.
+    Duration suspendedTime { 0 };
 };
 
 // The caller closed its connection.
--- a/Libraries/LibDecision/Node.h
+++ b/Libraries/LibDecision/Node.h
@@ -30,6 +30,7 @@
     RoutingMode routing { RoutingMode::ServiceHeader };
     // Applies to services without a published profile.
     Profile defaultProfile;
+    TenantTerms tenants;
 };
 
 // The decision core of one process. It does no I/O: it takes inputs with the instants at which they occurred, and
--- a/Libraries/LibModel/RouteTable.cpp
+++ b/Libraries/LibModel/RouteTable.cpp
@@ -21,6 +21,7 @@
         {
             std::ranges::for_each(table.services, [this](const ServiceTerms& service) { checkService(service); });
             std::ranges::for_each(table.routes, [this](const Route& route) { checkRoute(route); });
+            std::ranges::for_each(table.tenants, [this](const Tenant& tenant) { checkTenant(tenant); });
             require(table.version.value() > 0, "version", "is not above zero");
             require(table.limits.headerBytes > 0 && table.limits.bodyBytes > 0, "limits", "allow nothing");
             require(table.limits.headerTimeout > 0ms && table.limits.idleTimeout > 0ms, "limits", "give no time");
@@ -43,6 +44,8 @@
             require(!route.host.empty(), what, "has no host");
             require(isPrefix, what, "has a prefix that does not begin and end with /");
             require(m_places.emplace(route.host, route.pathPrefix).second, what, "has the host and prefix of another route");
+            if (!route.isUsable())
+                return;
             require(route.timeout > 0ms && route.timeout <= longestTimeout, what, "has no possible timeout");
             require(route.latencyObjective > 0ms, what, "has no possible latency objective");
             require(route.maximumAttempts >= 1 && route.maximumAttempts <= mostAttempts, what, "has no possible number of attempts");
@@ -55,6 +58,18 @@
             require(hasWeight, what, "has no target with a weight");
         }
 
+        void checkTenant(const Tenant& tenant)
+        {
+            auto what = "tenant " + tenant.name.value();
+            require(!tenant.name.isEmpty(), what, "has no name");
+            require(m_tenants.insert(tenant.name).second, what, "is listed twice");
+            require(std::isfinite(tenant.requestsPerSecond) && tenant.requestsPerSecond >= 0, what, "has an impossible rate");
+            require(std::isfinite(tenant.burst) && tenant.burst >= 0, what, "has an impossible burst");
+            std::ranges::for_each(tenant.keyDigests, [&](const std::string& digest) {
+                require(!digest.empty() && m_keyDigests.insert(digest).second, what, "has an empty API key, or one that is listed twice");
+            });
+        }
+
         void require(bool condition, const std::string& what, const std::string& problem) const
         {
             if (!condition)
@@ -64,6 +79,8 @@
         const std::string& m_source;
         std::unordered_set<ServiceName> m_services;
         std::set<std::pair<std::string, std::string>> m_places;
+        std::unordered_set<AccountId> m_tenants;
+        std::unordered_set<std::string_view> m_keyDigests;
     };
 
     std::string hostOf(std::string_view authority)
--- a/Libraries/LibModel/RouteTable.h
+++ b/Libraries/LibModel/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibModel/Identifiers.h>
+#include <LibModel/Tenant.h>
 #include <LibModel/Time.h>
 
 #include <cstdint>
@@ -41,7 +42,14 @@
     uint32_t priority { 0 };
     // Backend servers that one request may be sent to.
     uint32_t maximumAttempts { 1 };
-
+    // Whether requests need no API key although there are tenants.
+    bool isPublic { false };
+    // Whether bodies are so large that they must not be sent in vain.
+    bool hasLargeBodies { false };
+    // Why the route can't be used; empty if it can. Its requests are refused as not run.
+    std::string problem;
+
+    bool isUsable() const { return problem.empty(); }
     bool operator==(const Route&) const = default;
 };
 
@@ -73,12 +81,14 @@
     std::vector<Route> routes;
     std::vector<ServiceTerms> services;
     CallerLimits limits;
+    // Empty if requests need no API keys.
+    std::vector<Tenant> tenants;
 
     bool operator==(const RouteTable&) const = default;
 };
 
 // Checks what the types don't: names, paths, weights and figures in range, targets that are listed as services,
-// and no two routes for one host and path. Throws Error whose step is "check-routes" and whose peer is the source.
+// no two routes for one host and path, and no API key of two tenants. Throws Error whose step is "check-routes" and whose peer is the source.
 void checkRouteTable(const RouteTable&, const std::string& source);
 
 // Finds the route of a request. Built once for each table in force.
--- a/Libraries/LibModel/Settings.h
+++ b/Libraries/LibModel/Settings.h
@@ -4,6 +4,7 @@
 #include <LibModel/EnumNames.h>
 #include <LibModel/Identifiers.h>
 #include <LibModel/Profile.h>
+#include <LibModel/Tenant.h>
 #include <LibModel/Time.h>
 
 #include <cstdint>
@@ -157,6 +158,7 @@
     LogSettings log;
     TraceSettings trace;
     LimitSettings limits;
+    TenantTerms tenants;
     // Bound on the time that a leaving process waits for requests in flight.
     Duration leaveTimeout { 30s };
     // A leaving process goes on taking requests for this time, until callers know that it leaves.
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -120,6 +120,7 @@
     options.concurrentCalls = settings.limits.concurrentCalls;
     options.routing = settings.routing;
     options.defaultProfile = settings.defaultProfile;
+    options.tenants = settings.tenants;
     return options;
 }
 
