LibDecision: Take a resent order for new only at the process it was first sent to

A caller's booking ran twice: its first run's answer was lost with the power of many machines, and a resent order, made 569 ms after the first one, reached the restarted process a second later.

Cause: a sidecar took an unknown resent attempt for new if its process was older than firstSentAgo, an age that is measured when the order is made and lacks its time in transit.

Change: an order that may be resent names the start of the process that the attempt was first addressed to. A resent order that names another start, or none, is "outcome unknown". No age and no order of starts is compared, so neither transit nor a time of day that was set back matters. firstSentAgo stays as the mark of a resend, since previous versions read it; they ignore the new field. Three more holes of the same kind: the ledger forgot attempts 15 s after their end although deadlines of 40 s are in use, and now keeps the latest forgotten number of each ingress process; at the ingress, a resend that failed at the deadline, or whose order wasn't accepted, ended the request as "not run" although an earlier send may have run.

Why it works: a first send travels on one connection, which belongs to one process and is closed before the attempt is sent again.

The test OutcomeIsUnknownIfTheProcessStartedAfterTheFirstSend became part of ResendThatWasDelayedUntilAfterARestartDoesNotRun, which demands the same at any age of the process. NodeFleet now gives sidecars the attempts' keys, closes connections, and delays orders, answers and messages; before, its nodes never resent an order.

--- a/Libraries/LibControl/RunEnvelope.cpp
+++ b/Libraries/LibControl/RunEnvelope.cpp
@@ -34,6 +34,7 @@
     archive.optionalField("isReplayOnly", value.isReplayOnly);
     archive.optionalField("attempt", value.attempt);
     archive.optionalField("firstSentAgo", value.firstSentAgo);
+    archive.optionalField("receiverStart", value.receiverStart);
 }
 
 template <typename Archive>
--- a/Libraries/LibControl/RunEnvelope.h
+++ b/Libraries/LibControl/RunEnvelope.h
@@ -46,8 +46,11 @@
     bool isReplayOnly { false };
     // Identifies an order that may be resent, unique within one start of the sender; 0 if the order must not be resent.
     Model::AttemptId attempt;
-    // Time since the order was first sent, if it is resent because the earlier connection is in doubt; 0 otherwise.
+    // Greater than 0 if the order is resent because the earlier connection is in doubt. Receivers of earlier versions compare
+    // this time since the first send with their own age.
     Model::Duration firstSentAgo { 0 };
+    // The start incarnation of the process that the order was first addressed to, if the order may be resent.
+    std::optional<Model::Incarnation> receiverStart;
 
     bool operator==(const RunOrder&) const = default;
 };
--- a/Libraries/LibDecision/Admission/RunLedger.cpp
+++ b/Libraries/LibDecision/Admission/RunLedger.cpp
@@ -1,5 +1,7 @@
 #include <LibDecision/Admission/RunLedger.h>
 
+#include <algorithm>
+
 namespace Decision {
 
 const RunEntry* RunLedger::find(const RunKey& key) const
@@ -8,6 +10,12 @@
     return entry == m_entries.end() ? nullptr : &entry->second;
 }
 
+bool RunLedger::mayHaveForgotten(const RunKey& key) const
+{
+    auto expired = m_latestExpired.find({ key.ingress, key.ingressIncarnation });
+    return expired != m_latestExpired.end() && key.attempt <= expired->second;
+}
+
 void RunLedger::begin(const RunKey& key, SidecarCallId call)
 {
     m_entries[key] = RunEntry { call };
@@ -34,7 +42,10 @@
 {
     std::vector<SidecarCallId> answered;
     while (!m_ended.empty() && m_ended.front().at + retention <= now) {
-        auto entry = m_entries.extract(m_ended.front().key);
+        const auto& key = m_ended.front().key;
+        auto& latest = m_latestExpired[{ key.ingress, key.ingressIncarnation }];
+        latest = std::max(latest, key.attempt);
+        auto entry = m_entries.extract(key);
         if (entry.mapped().state == RunState::Answered)
             answered.push_back(entry.mapped().call);
         m_ended.pop_front();
--- a/Libraries/LibDecision/Admission/RunLedger.h
+++ b/Libraries/LibDecision/Admission/RunLedger.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace Decision {
@@ -45,11 +46,14 @@
 // over another connection; it is then recognised and doesn't run a second time.
 class RunLedger {
 public:
-    // An attempt is remembered for this time after its end, which is longer than an ingress keeps resending it.
+    // An attempt and its answer are remembered for this time after its end. An ingress may resend it for longer: deadlines of
+    // 40 s are in use, and the clock of a suspended ingress stands still. mayHaveForgotten() covers that.
     static constexpr Duration retention = std::chrono::seconds(15);
 
     // Returns nullptr if the attempt was never received or has expired.
     const RunEntry* find(const RunKey&) const;
+    // Returns true if this attempt, or a later one of the same ingress process, has expired. The attempt may then have run.
+    bool mayHaveForgotten(const RunKey&) const;
     void begin(const RunKey&, SidecarCallId);
     // Records how the call ended; ignores calls that begin() wasn't called for.
     void end(SidecarCallId, RunState, Reason, Instant now);
@@ -60,6 +64,8 @@
     std::vector<SidecarCallId> removeExpired(Instant now);
 
 private:
+    using Sender = std::pair<InstanceId, Incarnation>;
+
     struct Ended {
         RunKey key;
         Instant at;
@@ -69,6 +75,10 @@
     // Attempts that haven't ended.
     std::map<SidecarCallId, RunKey> m_pending;
     std::deque<Ended> m_ended;
+    // The latest expired attempt of each ingress process; attempts are numbered in the order of their first sends. This is never
+    // removed, since an order of a process that has ended may still be in transit. It takes about 100 bytes for each process
+    // that sent a resendable attempt: 150 KB a day if 1,500 processes restart once a day.
+    std::map<Sender, AttemptId> m_latestExpired;
 };
 
 }
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -132,9 +132,10 @@
     static constexpr int serviceTimeSamples = 8;
 
     void handleWaitTimeout(Turn&, SidecarCallId);
-    // Handles an attempt that was received before, or that a predecessor of this process may have received. Returns
-    // false if it is new.
+    // Handles an attempt that was received before, or may have been. Returns false if it is new.
     bool handleResend(Turn&, const SidecarCallArrived&);
+    // Returns true if the attempt, which the ledger doesn't contain, may have run nevertheless.
+    bool mayHaveRunBefore(const SidecarCallArrived&) const;
     void replay(Turn&, const SidecarCallArrived&);
     std::optional<Reason> refusalFor(Turn&, const SidecarCallArrived&) const;
     std::optional<Reason> dispatchRefusalFor(const AdmittedCall&, Instant now) const;
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -134,11 +134,11 @@
 {
     const auto* known = m_ledger.find(*arrival.key);
     if (!known) {
-        // A predecessor of this process may have run the attempt; its ledger was lost when it ended.
-        bool mayHaveRunBefore = arrival.firstSentAgo > Duration::zero() && turn.now() - m_startedAt < arrival.firstSentAgo;
-        if (mayHaveRunBefore)
-            sendRefusal(turn, arrival.call, arrival.backend, arrival.request, { Outcome::Unknown, Reason::PeerRestarted }, "settle");
-        return mayHaveRunBefore;
+        if (!mayHaveRunBefore(arrival))
+            return false;
+        auto reason = m_ledger.mayHaveForgotten(*arrival.key) ? Reason::PeerUnreachable : Reason::PeerRestarted;
+        sendRefusal(turn, arrival.call, arrival.backend, arrival.request, { Outcome::Unknown, reason }, "settle");
+        return true;
     }
     switch (known->state) {
     case RunState::Pending:
@@ -160,6 +160,23 @@
     return true;
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+bool SidecarAdmission<Gate, Observer>::mayHaveRunBefore(const SidecarCallArrived& arrival) const
+{
+    if (m_ledger.mayHaveForgotten(*arrival.key))
+        return true;
+    // A first send needs no check of the start. Its bytes travel on one connection, which belongs to one process and ends with
+    // it, and the ingress closes that connection before it sends the attempt again; one that isn't open by then carries no
+    // byte any more. So a first send that arrives here has reached no other process, and later sends that reached this one are
+    // in the ledger.
+    if (!arrival.isResent())
+        return false;
+    // An earlier send may have run at the process that it was addressed to. If that was another one, its ledger is lost. No age
+    // is compared, since it doesn't count the time in transit, and incarnations are compared for equality only, since the time
+    // of day may have been set back before a restart. Ingresses of earlier versions don't name the start.
+    return arrival.receiverStart != m_backends.startIncarnation();
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 void SidecarAdmission<Gate, Observer>::cancel(Turn& turn, SidecarCallId call)
 {
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -115,6 +115,15 @@
         return;
     }
     recordAttemptEnd(turn, finished.call, call, finished.report);
+    // An earlier send of the attempt may have run, and neither a connection that failed nor a refusal of the order itself says
+    // that it hasn't. Only a sidecar that knows the attempt or was its first receiver can.
+    bool isOrderRefused = finished.report.reason == Reason::BadRequest;
+    if (call.resends > 0 && verdictOf(finished.report) != AttemptVerdict::Deliver && (isConnectionLost || isOrderRefused)) {
+        call.mayHaveRun = true;
+        recordArrival(call);
+        conclude(turn, finished.call, call);
+        return;
+    }
     handleVerdict(turn, finished.call, call, finished.report);
 }
 
@@ -273,6 +282,7 @@
     effect.knownLimit = choice.knownLimit;
     effect.latencyObjective = call.terms.latencyObjective;
     effect.priority = call.terms.priority;
+    effect.receiverStart = choice.backend.sidecarIncarnation;
     call.backend = choice.backend;
     call.tried.push_back(choice.backend.id);
     forward(turn, id, call, std::move(effect));
--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -7,6 +7,7 @@
 #include <LibModel/Outcome.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -53,8 +54,11 @@
     bool isReplayOnly { false };
     // True if the sidecar must recognise a repeated send of this request, so that it isn't run twice.
     bool requiresDeduplication { false };
-    // Time since the request was first sent; zero unless it was sent before over a connection that may have failed.
+    // Time since the request was first sent; zero unless it was sent before over a connection that may have failed. Only
+    // receivers of earlier versions use its length.
     Duration firstSentAgo { 0 };
+    // The start incarnation of the process that the attempt was first addressed to, the same in each send of the attempt.
+    std::optional<Incarnation> receiverStart;
 };
 
 // Cancels an attempt at the sidecar. No report of the attempt is expected afterwards.
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -81,8 +81,14 @@
     bool isReplayOnly { false };
     // Set if the ingress may send this request again over another connection.
     std::optional<RunKey> key;
-    // Time since the ingress first sent this request; zero if this is the first send.
+    // Zero if this is the first send. Otherwise the age of the attempt when this order was made, which says nothing about its
+    // age now: any delay in transit comes on top.
     Duration firstSentAgo { 0 };
+    // The start incarnation of the process that the attempt was first addressed to; empty if the ingress is of a version that
+    // doesn't name it.
+    std::optional<Incarnation> receiverStart;
+
+    bool isResent() const { return firstSentAgo > Duration::zero(); }
 };
 
 // The ingress cancelled the request, or its connection was closed.
--- a/Libraries/LibDecision/Registry/LocalBackends.h
+++ b/Libraries/LibDecision/Registry/LocalBackends.h
@@ -56,6 +56,9 @@
 
     LocalBackends(const MemberRecord& self, const ProfileRegistry&);
 
+    // The incarnation of this process at its start, which its backend servers' records carry as sidecarIncarnation.
+    Incarnation startIncarnation() const { return m_self.incarnation; }
+
     std::optional<Instant> nextTimer() const { return m_timers.next(); }
     void handleTimer(Turn&);
 
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -140,8 +140,10 @@
     order.arrival = effect.arrival;
     order.knownLimit = effect.knownLimit;
     order.isReplayOnly = effect.isReplayOnly;
-    if (effect.requiresDeduplication)
+    if (effect.requiresDeduplication) {
         order.attempt = effect.attempt;
+        order.receiverStart = effect.receiverStart;
+    }
     order.firstSentAgo = effect.firstSentAgo;
     return order;
 }
@@ -153,7 +155,8 @@
         return;
     auto order = makeOrder(call->second, effect);
     auto& attempt = call->second.attempts[effect.attempt];
-    // An order that is sent again replaces the one on the connection in doubt.
+    // An order that is sent again replaces the one on the connection in doubt. Sidecars rely on this connection being closed
+    // before: see SidecarAdmission::mayHaveRunBefore().
     cancel(attempt);
     attempt.sidecar = effect.sidecar;
     attempt.startedAt = m_parties.now();
--- a/Services/fulmard/SidecarCalls.cpp
+++ b/Services/fulmard/SidecarCalls.cpp
@@ -56,6 +56,7 @@
     if (order.attempt.value())
         arrived.key = Decision::RunKey { order.from, order.senderStart, order.attempt };
     arrived.firstSentAgo = order.firstSentAgo;
+    arrived.receiverStart = order.receiverStart;
     m_sink(std::move(arrived));
     auto adopted = m_adopted.extract(id);
     return adopted ? adopted.mapped() : id;
--- a/Tests/LibControl/TestRunEnvelope.cpp
+++ b/Tests/LibControl/TestRunEnvelope.cpp
@@ -27,6 +27,11 @@
     if (*rc::gen::arbitrary<bool>())
         order.request.key = *anyName<IdempotencyKey>();
     order.isIdempotent = *rc::gen::arbitrary<bool>();
+    if (*rc::gen::arbitrary<bool>()) {
+        order.attempt = *anyNumber<AttemptId>();
+        order.firstSentAgo = Duration(*rc::gen::inRange(0, 1'000'000));
+        order.receiverStart = *anyNumber<Incarnation>();
+    }
     return order;
 }
 
--- a/Tests/LibDecision/Admission/TestRunLedger.cpp
+++ b/Tests/LibDecision/Admission/TestRunLedger.cpp
@@ -1,6 +1,7 @@
 #include <Tests/LibDecision/Admission/AdmissionRig.h>
 
 #include <gtest/gtest.h>
+#include <optional>
 
 using namespace Decision;
 
@@ -12,6 +13,15 @@
     arrival.isIdempotent = false;
     arrival.key = RunKey { InstanceId("ingress"), Incarnation(7), AttemptId(attempt) };
     arrival.firstSentAgo = firstSentAgo;
+    // The start of the rig's process.
+    arrival.receiverStart = Incarnation(1);
+    return arrival;
+}
+
+SidecarCallArrived resentToPredecessor(uint64_t call, uint64_t attempt, Duration firstSentAgo, std::optional<Incarnation> receiverStart)
+{
+    auto arrival = resendableArrivalOf(call, attempt, firstSentAgo);
+    arrival.receiverStart = receiverStart;
     return arrival;
 }
 
@@ -93,16 +103,49 @@
     EXPECT_EQ(effectsOf<RunCall>(rig.arrive(resendableArrivalOf(1, 5, 100ms))).size(), 1u);
 }
 
-TEST_F(RunLedgerTest, OutcomeIsUnknownIfTheProcessStartedAfterTheFirstSend)
+// Guards against docs/incidents/2026-12-06-resent-order.md: the order was made 569 ms after the first one, its connection took a
+// second more, and it reached a process that had started in between. The predecessor's start is higher if the time of day was
+// set back, and ingresses of earlier versions don't name it.
+TEST_F(RunLedgerTest, ResendThatWasDelayedUntilAfterARestartDoesNotRun)
 {
-    rig.turn([&](Turn& step) { rig.admission.start(step.now()); });
-    rig.now += 50ms;
-    auto effects = rig.arrive(resendableArrivalOf(1, 5, 100ms));
-    EXPECT_TRUE(effectsOf<RunCall>(effects).empty());
-    auto refusals = effectsOf<RefuseSidecarCall>(effects);
-    ASSERT_EQ(refusals.size(), 1u);
-    EXPECT_EQ(refusals.front().outcome, Outcome::Unknown);
-    EXPECT_EQ(refusals.front().reason, Reason::PeerRestarted);
+    uint64_t call = 0;
+    for (auto age : { Duration(0), Duration(900ms), Duration(1h) }) {
+        rig.turn([&](Turn& step) { rig.admission.start(step.now() - age); });
+        for (auto predecessor : { std::optional(Incarnation(0)), std::optional(Incarnation(2)), std::optional<Incarnation>() }) {
+            ++call;
+            auto effects = rig.arrive(resentToPredecessor(call, call, 569ms, predecessor));
+            EXPECT_TRUE(effectsOf<RunCall>(effects).empty());
+            auto refusals = effectsOf<RefuseSidecarCall>(effects);
+            ASSERT_EQ(refusals.size(), 1u);
+            EXPECT_EQ(refusals.front().outcome, Outcome::Unknown);
+            EXPECT_EQ(refusals.front().reason, Reason::PeerRestarted);
+        }
+    }
+}
+
+// Guards against refusing every request to a process whose new record hasn't reached the ingress.
+TEST_F(RunLedgerTest, FirstSendToAPredecessorRuns)
+{
+    EXPECT_EQ(effectsOf<RunCall>(rig.arrive(resentToPredecessor(1, 5, 0ms, Incarnation(9)))).size(), 1u);
+    // It is in the ledger then, whichever start a later send names.
+    EXPECT_EQ(effectsOf<RebindSidecarCall>(rig.arrive(resentToPredecessor(2, 5, 50ms, Incarnation(9)))).size(), 1u);
+}
+
+// Guards against a second run of an attempt that ended, was forgotten, and is sent again within its deadline of 40 s.
+TEST_F(RunLedgerTest, AttemptThatWasForgottenDoesNotRunAgain)
+{
+    rig.arrive(resendableArrivalOf(1, 5));
+    rig.finish(1, goodRun());
+    rig.advance(RunLedger::retention + 1s);
+    rig.announce("b", 1, 1);
+    for (auto firstSentAgo : { Duration(0), Duration(17s) }) {
+        auto effects = rig.arrive(resendableArrivalOf(2, 5, firstSentAgo));
+        EXPECT_TRUE(effectsOf<RunCall>(effects).empty());
+        auto refusals = effectsOf<RefuseSidecarCall>(effects);
+        ASSERT_EQ(refusals.size(), 1u);
+        EXPECT_EQ(refusals.front().outcome, Outcome::Unknown);
+    }
+    EXPECT_EQ(effectsOf<RunCall>(rig.arrive(resendableArrivalOf(3, 6))).size(), 1u);
 }
 
 TEST_F(RunLedgerTest, ResendOfACutRunIsUnknown)
--- a/Tests/LibDecision/Calls/CallRig.h
+++ b/Tests/LibDecision/Calls/CallRig.h
@@ -26,6 +26,7 @@
         RouteChoice choice;
         choice.backend.id = *id;
         choice.backend.incarnation = Incarnation(1);
+        choice.backend.sidecarIncarnation = sidecarStart;
         choice.sidecar = InstanceId("beside-" + id->value());
         choice.sidecarControl = { "127.0.0.1", 9000 };
         choice.isFull = isFull;
@@ -36,6 +37,8 @@
     Duration limitWait(const ServiceName&, Instant) const { return allLimitedFor; }
     std::optional<Endpoint> controlOf(const InstanceId&) const { return keeperControl; }
 
+    static constexpr Incarnation sidecarStart { 7 };
+
     std::vector<BackendId> backends { BackendId("a"), BackendId("b"), BackendId("c"), BackendId("d") };
     std::optional<Endpoint> keeperControl { Endpoint { "127.0.0.1", 9001 } };
     std::map<BackendId, int> outstanding;
@@ -68,6 +71,8 @@
 // Test fixture: one call table with its fakes and a clock; each action returns its turn's effects.
 class CallRig {
 public:
+    static constexpr Incarnation sidecarStart = FakeRouter::sidecarStart;
+
     explicit CallRig(const Profile& profile = {}, CallTableOptions options = {})
         : calls(router, observer, crashGuard, directory, profiles, options)
     {
--- a/Tests/LibDecision/Calls/TestResend.cpp
+++ b/Tests/LibDecision/Calls/TestResend.cpp
@@ -49,6 +49,9 @@
     EXPECT_EQ(again.front().attempt, first.front().attempt);
     EXPECT_EQ(again.front().backend, first.front().backend);
     EXPECT_EQ(again.front().firstSentAgo, 150ms);
+    // Both name the process that the attempt was first addressed to.
+    EXPECT_EQ(first.front().receiverStart, CallRig::sidecarStart);
+    EXPECT_EQ(again.front().receiverStart, CallRig::sidecarStart);
 
     AttemptReport answer;
     answer.hasLoad = true;
@@ -88,6 +91,35 @@
     EXPECT_EQ(refusals.front().outcome, Outcome::Unknown);
 }
 
+// Guards against "not run" or a run elsewhere after an earlier send of the attempt may have run: the last send's connection
+// failed in the instant of the deadline, before the deadline's timer.
+TEST(Resend, OutcomeIsUnknownIfTheLastSendFailsAtTheDeadline)
+{
+    CallRig rig(resendingProfile());
+    rig.arrive(nonIdempotentArrival(1));
+    rig.finish(1, 1, ended(AttemptResult::ConnectionLost, Reason::AnswerCut, false));
+    ASSERT_EQ(effectsOf<ForwardCall>(rig.advance(100ms)).size(), 1u);
+    rig.now += 2s;
+    auto effects = rig.finish(1, 1, ended(AttemptResult::NotSent, Reason::ConnectFailed, false));
+    EXPECT_TRUE(effectsOf<ForwardCall>(effects).empty());
+    auto refusals = effectsOf<RefuseCall>(effects);
+    ASSERT_EQ(refusals.size(), 1u);
+    EXPECT_EQ(refusals.front().outcome, Outcome::Unknown);
+}
+
+// Guards against "not run" after the sidecar didn't accept a resent order itself, for example because it came too late for
+// the window of the replay protection. That says nothing of the earlier sends.
+TEST(Resend, OutcomeIsUnknownIfAResentOrderIsNotAccepted)
+{
+    CallRig rig(resendingProfile());
+    rig.arrive(nonIdempotentArrival(1));
+    rig.finish(1, 1, ended(AttemptResult::ConnectionLost, Reason::AnswerCut, false));
+    ASSERT_EQ(effectsOf<ForwardCall>(rig.advance(100ms)).size(), 1u);
+    auto refusals = effectsOf<RefuseCall>(rig.finish(1, 1, ended(AttemptResult::RefusedNotRun, Reason::BadRequest, true)));
+    ASSERT_EQ(refusals.size(), 1u);
+    EXPECT_EQ(refusals.front().outcome, Outcome::Unknown);
+}
+
 TEST(Resend, SendsElsewhereIfTheFirstSendFailedBeforeAnyByte)
 {
     CallRig rig(resendingProfile());
--- a/Tests/LibDecision/Membership/FakeFleet.h
+++ b/Tests/LibDecision/Membership/FakeFleet.h
@@ -41,6 +41,10 @@
     Duration minimumDelay { 500us };
     // Delays are uniformly distributed between the minimum and the maximum, so messages may arrive out of order.
     Duration maximumDelay { 2ms };
+    // Probability, 0 to 1, that a message is delayed by up to slowDelay more, as by a retransmitted SYN. It reaches the process
+    // that is there when it arrives, which may have started since the message was sent.
+    double slowShare { 0 };
+    Duration slowDelay { 4s };
 };
 
 // Simulates many processes in one thread with a simulated clock and network. The same seed gives the same run.
@@ -156,6 +160,9 @@
     std::function<void(size_t from, const SendMessage&)> onSend;
 
 private:
+    // Processes count their generations from 1.
+    static constexpr uint32_t anyGeneration = 0;
+
     struct Slot {
         MemberRecord record;
         std::unique_ptr<Process> process;
@@ -196,7 +203,7 @@
         m_events.pop();
         if (event.action)
             return event.action();
-        if (m_slots[event.target].generation == event.generation)
+        if (event.generation == anyGeneration || m_slots[event.target].generation == event.generation)
             deliver(event.target, *event.input);
     }
 
@@ -248,8 +255,12 @@
             received.routesVersion = m_slots[from].process->routesVersion();
         auto input = std::make_shared<Input>(MessageReceived { std::move(received) });
         auto copies = happens(faults.duplication) ? 2 : 1;
-        for (auto copy = 0; copy < copies; ++copy)
-            m_events.push({ m_now + delay(), ++m_lastEvent, target->second, m_slots[target->second].generation, input, {} });
+        for (auto copy = 0; copy < copies; ++copy) {
+            bool isSlow = happens(faults.slowShare);
+            auto added = isSlow ? Duration(std::uniform_int_distribution<int64_t>(0, faults.slowDelay.count())(m_random)) : Duration::zero();
+            auto generation = isSlow ? anyGeneration : m_slots[target->second].generation;
+            m_events.push({ m_now + delay() + added, ++m_lastEvent, target->second, generation, input, {} });
+        }
     }
 
     Duration delay()
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -2,11 +2,13 @@
 
 #include <LibDecision/NodeState.h>
 
+#include <algorithm>
+
 namespace Testing {
 
 namespace {
 
-    constexpr Duration announcementInterval = 3s;
+    constexpr uint64_t firstIncarnation = 1'000'000;
     constexpr Duration connectTimeout = 200ms;
     constexpr Duration platformDelay = 3ms;
     constexpr Duration platformTimeout = 2s;
@@ -36,7 +38,7 @@
 {
     MemberRecord record;
     record.instance = InstanceId("node-" + std::to_string(node));
-    record.incarnation = Incarnation(1 + m_generations[node] * 1000);
+    record.incarnation = Incarnation(firstIncarnation + m_generations[node] * 1000 - (m_setBack.contains(node) ? m_setBack.at(node) : 0));
     record.zone = ZoneName(zones[node % zones.size()]);
     record.region = RegionName("souss-massa");
     record.control = { "127.0.0.1", static_cast<uint16_t>(2000 + node) };
@@ -95,7 +97,7 @@
         if (m_fleet.isRunning(backend.node))
             m_fleet.deliver(backend.node, BackendAnnounced { announcementOf(backend) });
     }
-    m_fleet.callLater(announcementInterval, [this, index] { announce(index); });
+    m_fleet.callLater(m_options.announcementInterval, [this, index] { announce(index); });
 }
 
 RequestInfo NodeFleet::makeRequest(const std::string& service, Method method, std::optional<std::string> key)
@@ -156,6 +158,7 @@
             request.isIngressLost = true;
     }
     failForwardedCallsOf(node);
+    std::erase_if(m_openSends, [&](const auto& send) { return std::get<size_t>(send.first) == node; });
 }
 
 void NodeFleet::restart(size_t node)
@@ -164,6 +167,16 @@
         startNode(node);
 }
 
+void NodeFleet::restartInThePast(size_t node)
+{
+    if (m_fleet.isRunning(node))
+        return;
+    // A restart raises the incarnation by 2000, since each start and each end of a process counts as a generation. The
+    // remainder keeps it from meeting an earlier one.
+    m_setBack[node] += 2503;
+    startNode(node);
+}
+
 size_t NodeFleet::addNode()
 {
     m_generations.push_back(0);
@@ -235,12 +248,40 @@
     std::erase_if(m_keptAnswers, [&](const auto& kept) { return kept.first.first == node; });
 }
 
+Duration NodeFleet::transitTime()
+{
+    auto delay = networkDelay();
+    if (slowTransits > 0 && happens(slowTransits))
+        delay += Duration(std::uniform_int_distribution<int64_t>(0, longestTransit.count())(m_fleet.random()));
+    return delay;
+}
+
+bool NodeFleet::isClosed(const ForwardedCall& forwarded) const
+{
+    auto open = m_openSends.find(attemptOf(forwarded));
+    return open == m_openSends.end() || open->second != forwarded.send;
+}
+
+void NodeFleet::closeEarlierSend(const AttemptKey& attempt)
+{
+    if (m_openSends.erase(attempt) == 0)
+        return;
+    auto earlier = std::ranges::find_if(m_forwardedCalls, [&](const auto& entry) { return attemptOf(entry.second) == attempt; });
+    if (earlier == m_forwardedCalls.end())
+        return;
+    if (!isCut(earlier->second.ingress, earlier->second.sidecar))
+        m_fleet.deliverLater(earlier->second.sidecar, networkDelay(), SidecarCallCancelled { SidecarCallId(earlier->first.second) });
+    m_forwardedCalls.erase(earlier);
+}
+
 void NodeFleet::carryOut(size_t node, const ForwardCall& effect)
 {
     auto request = m_requests[m_requestByCall.at({ node, effect.call })].info;
     request.remaining = effect.remaining;
     auto sidecar = nodeOf(effect.sidecar);
-    ForwardedCall forwarded { node, m_generations[node], effect.call, effect.attempt, effect.sidecar, sidecar, m_fleet.now(), request };
+    ForwardedCall forwarded { node, m_generations[node], effect.call, effect.attempt, effect.sidecar, sidecar, m_fleet.now(), request, ++m_lastSend };
+    closeEarlierSend(attemptOf(forwarded));
+    m_openSends[attemptOf(forwarded)] = forwarded.send;
     if (sidecar == node) {
         arrive(forwarded, effect);
         return;
@@ -252,7 +293,28 @@
         report(forwarded, { .result = AttemptResult::NotSent, .reason = Reason::ConnectFailed }, wait, {});
         return;
     }
-    m_fleet.callLater(networkDelay(), [this, forwarded, effect] { arrive(forwarded, effect); });
+    if (slowTransits > 0)
+        m_fleet.callLater(transitTime(), [this, forwarded, effect] { connect(forwarded, effect); });
+    else
+        connect(forwarded, effect);
+}
+
+void NodeFleet::connect(const ForwardedCall& forwarded, const ForwardCall& effect)
+{
+    // A connection that is closed before it is open carries no byte.
+    if (isClosed(forwarded))
+        return;
+    if (!m_fleet.isRunning(forwarded.sidecar)) {
+        report(forwarded, { .result = AttemptResult::NotSent, .reason = Reason::ConnectFailed }, networkDelay(), {});
+        return;
+    }
+    // An open connection belongs to one process: what is still on its way when that process ends is lost.
+    m_fleet.callLater(transitTime(), [this, forwarded, effect, generation = m_generations[forwarded.sidecar]] {
+        if (m_generations[forwarded.sidecar] == generation)
+            arrive(forwarded, effect);
+        else
+            report(forwarded, { .result = AttemptResult::ConnectionLost, .reason = Reason::AnswerCut }, networkDelay(), {});
+    });
 }
 
 void NodeFleet::arrive(ForwardedCall forwarded, const ForwardCall& effect)
@@ -276,6 +338,16 @@
     arrived.arrival = effect.arrival;
     arrived.knownLimit = effect.knownLimit;
     arrived.firstSentAgo = effect.firstSentAgo;
+    arrived.receiverStart = effect.receiverStart;
+    if (effect.requiresDeduplication)
+        arrived.key = RunKey { InstanceId("node-" + std::to_string(forwarded.ingress)), Incarnation(forwarded.ingressGeneration), effect.attempt };
+    m_arrivedRequests[{ forwarded.sidecar, arrived.call.value() }] = forwarded.request;
+    if (isClosed(forwarded)) {
+        // The bytes on a connection arrive although the ingress has closed it, and its end after them.
+        m_fleet.deliverLater(forwarded.sidecar, Duration::zero(), arrived);
+        m_fleet.deliverLater(forwarded.sidecar, networkDelay(), SidecarCallCancelled { arrived.call });
+        return;
+    }
     m_forwardedCalls[{ forwarded.sidecar, arrived.call.value() }] = forwarded;
 
     // The attempt ends at the deadline if its answer was lost on a cut network path.
@@ -293,23 +365,20 @@
 
 void NodeFleet::carryOut(size_t node, const CancelAttempt& effect)
 {
-    for (auto entry = m_forwardedCalls.begin(); entry != m_forwardedCalls.end(); ++entry) {
-        const auto& forwarded = entry->second;
-        if (forwarded.ingress != node || forwarded.call != effect.call || forwarded.attempt != effect.attempt)
-            continue;
-        if (!isCut(node, forwarded.sidecar))
-            m_fleet.deliverLater(forwarded.sidecar, networkDelay(), SidecarCallCancelled { SidecarCallId(entry->first.second) });
-        m_forwardedCalls.erase(entry);
-        return;
-    }
+    closeEarlierSend({ node, effect.call, effect.attempt });
 }
 
 void NodeFleet::report(const ForwardedCall& forwarded, AttemptReport report, Duration delay, RequestId answerOf)
 {
-    m_attemptAnswers[{ forwarded.call, forwarded.attempt }] = std::move(answerOf);
     report.elapsed = m_fleet.now() + delay - forwarded.sentAt;
-    if (m_generations[forwarded.ingress] == forwarded.ingressGeneration)
-        m_fleet.deliverLater(forwarded.ingress, delay, AttemptFinished { forwarded.call, forwarded.attempt, report, forwarded.sidecarName });
+    // An ingress hears nothing of a connection that it has closed.
+    m_fleet.callLater(delay, [this, forwarded, report, answerOf = std::move(answerOf)] {
+        if (isClosed(forwarded) || m_generations[forwarded.ingress] != forwarded.ingressGeneration)
+            return;
+        m_openSends.erase(attemptOf(forwarded));
+        m_attemptAnswers[{ forwarded.call, forwarded.attempt }] = answerOf;
+        m_fleet.deliver(forwarded.ingress, AttemptFinished { forwarded.call, forwarded.attempt, report, forwarded.sidecarName });
+    });
 }
 
 void NodeFleet::finishForwardedCall(size_t node, SidecarCallId call, AttemptReport attemptReport, RequestId answerOf)
@@ -322,7 +391,7 @@
         return;
     auto forwarded = entry->second;
     m_forwardedCalls.erase(entry);
-    report(forwarded, attemptReport, node == forwarded.ingress ? Duration::zero() : networkDelay(), std::move(answerOf));
+    report(forwarded, attemptReport, node == forwarded.ingress ? Duration::zero() : transitTime(), std::move(answerOf));
 }
 
 void NodeFleet::carryOut(size_t node, const AnswerSidecarCall& effect)
@@ -381,10 +450,9 @@
     auto index = indexOf(effect.backend);
     auto& backend = m_backends[index];
     SidecarKey key { node, effect.call.value() };
-    auto forwarded = m_forwardedCalls.find(key);
-    auto request = forwarded == m_forwardedCalls.end() ? RequestInfo {} : forwarded->second.request;
+    auto request = m_arrivedRequests.at(key);
     auto& run = m_runs[key] = { node, m_generations[node], index, backend.incarnation, false, request };
-    if (!backend.isUp || forwarded == m_forwardedCalls.end()) {
+    if (!backend.isUp) {
         m_fleet.callLater(networkDelay(), [this, key] { finishRun(key, AttemptResult::NotSent, 0); });
         return;
     }
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -113,6 +114,7 @@
     bool areBackendsTied { false };
     // How long a backend server that crashed is down.
     Duration backendDownTime { 2s };
+    Duration announcementInterval { 3s };
     // Whether processes know some others from the start, rather than only from the store.
     bool knowsSeeds { true };
 };
@@ -133,6 +135,8 @@
 
     void kill(size_t node);
     void restart(size_t node);
+    // Restarts the process after the time of day of its machine was set back, so that its incarnation is lower than before.
+    void restartInThePast(size_t node);
     void leave(size_t node);
     void pause(size_t node, Duration);
     void drain(size_t backend);
@@ -163,6 +167,10 @@
     bool isPlatformDown { false };
     // Probability, 0 to 1, that an operation takes effect at the platform but its reply is lost.
     double lostPlatformReplies { 0 };
+    // Probability, 0 to 1, that a run order or its answer is delayed by up to longestTransit: while its connection is being
+    // opened, as by a retransmitted SYN, or on the open connection.
+    double slowTransits { 0 };
+    Duration longestTransit { 4s };
 
 private:
     // A request that an ingress forwarded to a sidecar and that has not finished.
@@ -175,8 +183,12 @@
         size_t sidecar { 0 };
         Instant sentAt;
         RequestInfo request;
+        // Which of the sends in this fleet it is; an attempt may be sent several times.
+        uint64_t send { 0 };
     };
 
+    using AttemptKey = std::tuple<size_t, CallId, AttemptId>;
+
     struct Run {
         size_t node { 0 };
         uint32_t generation { 0 };
@@ -219,6 +231,14 @@
     void carryOut(size_t, const SendMessage&) { }
     void carryOut(size_t, const DropConnections&) { }
 
+    Duration transitTime();
+    static AttemptKey attemptOf(const ForwardedCall& forwarded) { return { forwarded.ingress, forwarded.call, forwarded.attempt }; }
+    // Returns true if the ingress has closed the connection of this send.
+    bool isClosed(const ForwardedCall&) const;
+    // Closes the connection of the attempt's earlier send, which is in doubt.
+    void closeEarlierSend(const AttemptKey&);
+    // Opens the connection of a send to the process that is there now.
+    void connect(const ForwardedCall&, const ForwardCall&);
     void arrive(ForwardedCall, const ForwardCall&);
     void finishForwardedCall(size_t node, SidecarCallId, AttemptReport, RequestId answerOf);
     void report(const ForwardedCall&, AttemptReport, Duration delay, RequestId answerOf);
@@ -236,12 +256,18 @@
     FakeFleet<Node> m_fleet;
     FakePlatform m_platform;
     std::vector<uint32_t> m_generations;
+    // By how much less the incarnation of each process is because the time of day was set back.
+    std::map<size_t, uint64_t> m_setBack;
     std::vector<FakeBackend> m_backends;
     std::vector<CallerRequest> m_requests;
     std::map<std::pair<size_t, CallId>, size_t> m_requestByCall;
     // The request that the answer of each attempt belongs to.
     std::map<std::pair<CallId, AttemptId>, RequestId> m_attemptAnswers;
     std::map<SidecarKey, ForwardedCall> m_forwardedCalls;
+    // The last send of each attempt whose ingress still waits for it.
+    std::map<AttemptKey, uint64_t> m_openSends;
+    // The requests that arrived at sidecars, also over connections that were closed since.
+    std::map<SidecarKey, RequestInfo> m_arrivedRequests;
     std::map<SidecarKey, Run> m_runs;
     // The requests that backend servers answered completely.
     std::map<SidecarKey, RequestId> m_runAnswers;
@@ -271,6 +297,7 @@
     uint64_t m_lastCall { 0 };
     uint64_t m_lastSidecarCall { 0 };
     uint64_t m_lastRequest { 0 };
+    uint64_t m_lastSend { 0 };
 };
 
 }
