platform: Read tenants, and keep the rest of a configuration with malformed entries

Callers of a deployment whose configuration had one route of an unknown kind (`upload`, for instance) got no new configuration at all: the adapter refused the whole text, and every later change with it. Tenants and public routes weren't read.

The adapter now reads `tenants`, `public` and the kind `upload`. Entries without a place are listed as omissions. The table carries the problems, so every process has them: event routes-incomplete, gauge fulmar_routes_unusable_entries, `fulmarctl status`. Tenants travel in parts of up to 128 KB. The bounds of tenants are read from both kinds of settings files.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -70,6 +70,8 @@
     archive.optionalField("priority", value.priority);
     archive.optionalField("requestsPerSecond", value.requestsPerSecond);
     archive.optionalField("burst", value.burst);
+    archive.optionalField("problem", value.problem);
+    archive.optionalField("hasUnreadKeys", value.hasUnreadKeys);
 }
 
 template <typename Archive>
@@ -97,6 +99,7 @@
     archive.field("services", value.services);
     archive.field("limits", value.limits);
     archive.optionalField("tenants", value.tenants);
+    archive.optionalField("omissions", value.omissions);
 }
 
 inline const char* kindOf(const ProfileRevision&) { return "profile"; }
--- a/Libraries/LibControl/Signer.cpp
+++ b/Libraries/LibControl/Signer.cpp
@@ -1,5 +1,6 @@
 #include <LibControl/Signer.h>
 
+#include <LibControl/Digest.h>
 #include <LibModel/Error.h>
 
 #include <array>
@@ -24,14 +25,7 @@
     if (!result)
         throw Model::Error("sign", "local", "HMAC failed");
 
-    static constexpr std::string_view digits = "0123456789abcdef";
-    std::string hexadecimal;
-    hexadecimal.reserve(size_t(length) * 2);
-    for (unsigned index = 0; index < length; ++index) {
-        hexadecimal += digits[digest[index] >> 4];
-        hexadecimal += digits[digest[index] & 15];
-    }
-    return hexadecimal;
+    return toHexadecimal({ digest.data(), length });
 }
 
 bool Signer::isValid(std::string_view purpose, std::string_view text, std::string_view signature) const
--- a/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/Configuration/RouteConfiguration.h>
 
 #include <LibDecision/Configuration/ZoneMembers.h>
+#include <LibDecision/Membership/RecordSize.h>
 #include <LibDecision/Rendezvous.h>
 #include <LibModel/Error.h>
 
@@ -27,6 +28,22 @@
     // Time that a process has to answer a request for its table before the platform is read instead.
     constexpr Duration requestTimeout = std::chrono::milliseconds(300);
 
+    // Length of the tenants in one part when encoded. With its envelope, a message must stay below 256 KB.
+    constexpr size_t maximumTenantBytes = 128 * 1024;
+    constexpr size_t maximumEvidenceProblems = 5;
+
+    // Returns the end of the tenants that fit into one part. At least one always does, since the number of keys is bounded.
+    template <typename Iterator>
+    Iterator endOfPart(Iterator begin, Iterator end)
+    {
+        size_t bytes = 0;
+        return std::find_if(begin, end, [&](const Tenant& tenant) {
+            bool isFirst = bytes == 0;
+            bytes += estimatedSize(tenant);
+            return !isFirst && bytes > maximumTenantBytes;
+        });
+    }
+
     std::vector<RouteTable> splitIntoParts(const RouteTable& table)
     {
         std::vector<RouteTable> parts;
@@ -39,11 +56,28 @@
             rest += count;
             parts.push_back(std::move(part));
         } while (rest != table.routes.end());
+        for (auto tenant = table.tenants.begin(); tenant != table.tenants.end();) {
+            auto end = endOfPart(tenant, table.tenants.end());
+            RouteTable part;
+            part.version = table.version;
+            part.tenants.assign(tenant, end);
+            tenant = end;
+            parts.push_back(std::move(part));
+        }
         parts.front().services = table.services;
         parts.front().limits = table.limits;
+        parts.front().omissions = table.omissions;
         return parts;
     }
 
+    std::string summaryOf(const std::vector<std::string>& problems)
+    {
+        std::string text = std::to_string(problems.size()) + " entries can't be used";
+        for (size_t number = 0; number < std::min(problems.size(), maximumEvidenceProblems); ++number)
+            text += "; " + problems[number];
+        return text;
+    }
+
 }
 
 RouteConfiguration::RouteConfiguration(RoutingMode mode, const MemberRecord& self, const Membership& membership, ProfileRegistry& profiles)
@@ -173,6 +207,7 @@
 
 void RouteConfiguration::receivePart(Turn& turn, const InstanceId& from, const RouteTablePart& part)
 {
+    // 75,000 tenants with two keys each fit into some 150 parts.
     constexpr uint32_t maximumParts = 1000;
     if (part.table.version <= version() || part.count == 0 || part.count > maximumParts || part.number >= part.count)
         return;
@@ -189,6 +224,7 @@
     auto table = std::make_shared<RouteTable>(*m_incomingTable->parts.front());
     std::for_each(m_incomingTable->parts.begin() + 1, m_incomingTable->parts.end(), [&](const auto& next) {
         std::ranges::copy(next->routes, std::back_inserter(table->routes));
+        std::ranges::copy(next->tenants, std::back_inserter(table->tenants));
     });
     m_incomingTable.reset();
     apply(turn, std::move(table), from.value());
@@ -210,6 +246,9 @@
     std::ranges::for_each(m_table->services, [this](const ServiceTerms& terms) { m_profiles.putServiceTerms(terms); });
     announce(turn);
     explain(turn, DecisionKind::RoutesAdopted, source, version(), std::to_string(m_table->routes.size()) + " routes; replaces version " + std::to_string(before.value()));
+    m_problems = problemsOf(*m_table);
+    if (!m_problems.empty())
+        explain(turn, DecisionKind::RoutesIncomplete, source, version(), summaryOf(m_problems));
     return true;
 }
 
--- a/Libraries/LibDecision/Configuration/RouteConfiguration.h
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.h
@@ -51,6 +51,8 @@
     Revision newestHeard() const { return m_newestHeard; }
     // How long the pending watch has waited; zero without one.
     Duration watchAge(Instant now) const { return m_pendingWatch ? now - m_watchStartedAt : Duration(0); }
+    // Entries of the table in force that can't be used, with the reasons.
+    const std::vector<std::string>& problems() const { return m_problems; }
     Revision version() const { return m_table ? m_table->version : Revision {}; }
     const Route* find(std::string_view authority, std::string_view target) const { return m_index.find(authority, target); }
 
@@ -79,6 +81,7 @@
     ProfileRegistry& m_profiles;
     std::shared_ptr<const RouteTable> m_table;
     RouteIndex m_index;
+    std::vector<std::string> m_problems;
     std::optional<PlatformTag> m_pendingWatch;
     Instant m_watchStartedAt;
     Revision m_newestHeard;
--- a/Libraries/LibDecision/Membership/RecordSize.cpp
+++ b/Libraries/LibDecision/Membership/RecordSize.cpp
@@ -93,13 +93,17 @@
     size_t bodySize(const Route& route)
     {
         auto targets = std::transform_reduce(route.targets.begin(), route.targets.end(), size_t { 0 }, std::plus {}, [](const RouteTarget& target) { return length(target.service) + recordOverheadBytes; });
-        return recordOverheadBytes + jsonLength(route.name) + jsonLength(route.host) + jsonLength(route.pathPrefix) + targets;
+        return recordOverheadBytes + jsonLength(route.name) + jsonLength(route.problem) + jsonLength(route.host) + jsonLength(route.pathPrefix) + targets;
     }
 
     size_t bodySize(const RouteTablePart& part)
     {
         const auto& routes = part.table.routes;
         auto size = std::transform_reduce(routes.begin(), routes.end(), size_t { 0 }, std::plus {}, [](const Route& route) { return bodySize(route); });
+        const auto& tenants = part.table.tenants;
+        size = std::transform_reduce(tenants.begin(), tenants.end(), size, std::plus {}, [](const Tenant& tenant) { return estimatedSize(tenant); });
+        const auto& omissions = part.table.omissions;
+        size = std::transform_reduce(omissions.begin(), omissions.end(), size, std::plus {}, [](const std::string& omission) { return numberBytes + jsonLength(omission); });
         return size + part.table.services.size() * recordOverheadBytes;
     }
 
@@ -116,6 +120,12 @@
     });
 }
 
+size_t estimatedSize(const Tenant& tenant)
+{
+    constexpr size_t digestBytes = 64 + 3;
+    return recordOverheadBytes + length(tenant.name) + jsonLength(tenant.problem) + tenant.keyDigests.size() * digestBytes;
+}
+
 size_t estimatedSize(const Rumor& rumor)
 {
     return recordOverheadBytes + std::visit([](const auto& record) { return textLength(record); }, rumor);
--- a/Libraries/LibModel/RouteTable.h
+++ b/Libraries/LibModel/RouteTable.h
@@ -83,14 +83,28 @@
     CallerLimits limits;
     // Empty if requests need no API keys.
     std::vector<Tenant> tenants;
+    // Entries that operators published and that had to be left out, with the reasons.
+    std::vector<std::string> omissions;
 
     bool operator==(const RouteTable&) const = default;
 };
 
 // Checks what the types don't: names, paths, weights and figures in range, targets that are listed as services,
-// no two routes for one host and path, and no API key of two tenants. Throws Error whose step is "check-routes" and whose peer is the source.
+// no two routes for one host and path, and no API key of two tenants. Throws Error whose step is "check-routes" and whose peer is
+// the source.
 void checkRouteTable(const RouteTable&, const std::string& source);
 
+// Makes a table that checkRouteTable() accepts, so that one malformed entry doesn't cost the others their configuration.
+// Services, and routes without a place, are left out and listed as omissions; other routes and tenants with a problem
+// stay as unusable. A key of two tenants belongs to neither: it moves to a nameless unusable tenant.
+void isolateProblems(RouteTable&);
+
+// Lists an entry that was left out. Only a bounded number of them is kept.
+void addOmission(RouteTable&, std::string omission);
+
+// Descriptions of everything in the table that can't be used.
+std::vector<std::string> problemsOf(const RouteTable&);
+
 // Finds the route of a request. Built once for each table in force.
 class RouteIndex {
 public:
--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -39,6 +39,17 @@
         return settings;
     }
 
+    TenantTerms readTenantTerms(YamlReader reader)
+    {
+        TenantTerms terms;
+        terms.hasStrictRevocation = reader.boolean("strict-revocation", terms.hasStrictRevocation);
+        terms.revocationBound = reader.duration("revocation-bound", 1s, 1h, terms.revocationBound);
+        terms.quotaWindow = reader.duration("quota-window", 1s, 1h, terms.quotaWindow);
+        terms.quotaOvershoot = reader.number("quota-overshoot", 0, 1, terms.quotaOvershoot);
+        reader.finish();
+        return terms;
+    }
+
     EdgeSettings readEdge(YamlReader reader)
     {
         EdgeSettings settings;
@@ -94,6 +105,7 @@
     settings.log = readLog(reader.mapping("log"));
     settings.trace = readTrace(reader.mapping("trace"));
     settings.limits = readLimits(reader.mapping("limits"));
+    settings.tenants = readTenantTerms(reader.mapping("tenants"));
     settings.leaveTimeout = reader.duration("leave-timeout", 0s, 1h, settings.leaveTimeout);
     settings.leaveNotice = reader.duration("leave-notice", 0s, settings.leaveTimeout, settings.leaveNotice);
     reader.finish();
--- a/Libraries/LibModel/Tenant.h
+++ b/Libraries/LibModel/Tenant.h
@@ -11,6 +11,9 @@
 
 using namespace std::chrono_literals;
 
+// Keeps the tenant with the most keys within one control message.
+constexpr size_t maximumKeysPerTenant = 1000;
+
 // One customer that shares the fleet with others.
 struct Tenant {
     // Serves as the client account of the tenant's requests.
@@ -23,7 +26,12 @@
     double requestsPerSecond { 0 };
     // Requests beyond that rate that may come at once.
     double burst { 0 };
+    // Why the entry can't be used; empty if it can. Requests with its keys are refused as not run. It may lack a name.
+    std::string problem;
+    // Whether some keys of an unusable entry couldn't be read, so that any key that isn't listed may be one of them.
+    bool hasUnreadKeys { false };
 
+    bool isUsable() const { return problem.empty(); }
     bool hasQuota() const { return requestsPerSecond > 0; }
     bool operator==(const Tenant&) const = default;
 };
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -40,6 +40,7 @@
     RoutesVersion,
     RoutesNewestVersionHeard,
     RoutesWatchSeconds,
+    RoutesUnusableEntries,
 };
 
 // Totals that other parts count themselves; they are set to their current value.
@@ -84,6 +85,7 @@
         EnumName { Telemetry::Gauge::RoutesVersion, "fulmar_routes_version" },
         EnumName { Telemetry::Gauge::RoutesNewestVersionHeard, "fulmar_routes_newest_version_heard" },
         EnumName { Telemetry::Gauge::RoutesWatchSeconds, "fulmar_routes_watch_seconds" },
+        EnumName { Telemetry::Gauge::RoutesUnusableEntries, "fulmar_routes_unusable_entries" },
     };
 };
 
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -321,6 +321,7 @@
     metrics.set(Gauge::RoutesVersion, static_cast<double>(state.routes().version().value()));
     metrics.set(Gauge::RoutesNewestVersionHeard, static_cast<double>(state.routes().newestHeard().value()));
     metrics.set(Gauge::RoutesWatchSeconds, std::chrono::duration<double>(state.routes().watchAge(m_loop.now())).count());
+    metrics.set(Gauge::RoutesUnusableEntries, static_cast<double>(state.routes().problems().size()));
 
     const auto& channel = m_channel.counters();
     metrics.set(Total::ControlMessagesSent, channel.messagesSent);
--- a/Services/fulmard/OperatorApi.cpp
+++ b/Services/fulmard/OperatorApi.cpp
@@ -15,6 +15,7 @@
 
     constexpr std::string_view drainPath = "/v1/drain/";
     constexpr size_t mostExplanations = 1000;
+    constexpr size_t mostRouteProblems = 100;
 
     Transport::HttpResponse jsonResponse(uint16_t status, const Json::Value& body)
     {
@@ -83,9 +84,19 @@
     json["isWatcher"] = state().configuration().isWatcher();
     json["callsInFlight"] = toJson(state().calls().inFlight());
     json["runsInFlight"] = toJson(state().admission().inFlight());
+    json["routesVersion"] = toJson(state().routes().version().value());
+    json["routeProblems"] = routeProblems();
     return json;
 }
 
+Json::Value OperatorApi::routeProblems() const
+{
+    Json::Value list(Json::arrayValue);
+    const auto& problems = state().routes().problems();
+    std::for_each_n(problems.begin(), std::min(problems.size(), mostRouteProblems), [&](const std::string& problem) { list.append(problem); });
+    return list;
+}
+
 Json::Value OperatorApi::members() const
 {
     Json::Value list(Json::arrayValue);
--- a/Services/fulmard/OperatorApi.h
+++ b/Services/fulmard/OperatorApi.h
@@ -33,6 +33,7 @@
     Json::Value status(const Model::ServiceName&) const;
     Json::Value summary() const;
     Json::Value self() const;
+    Json::Value routeProblems() const;
     Json::Value members() const;
     Json::Value serviceStatus(const Model::ServiceName&) const;
     Json::Value backendStatus(const Decision::BackendRecord&) const;
--- a/Tests/LibControl/MessageGenerators.h
+++ b/Tests/LibControl/MessageGenerators.h
@@ -81,10 +81,21 @@
         *anyName<InstanceId>(), *anyNumber<Incarnation>(), *rc::gen::arbitrary<uint64_t>(), Duration(*rc::gen::inRange(0, 1'000'000)) };
 }
 
+inline RouteTablePart anyRouteTablePart()
+{
+    RouteTable table;
+    table.version = *anyNumber<Revision>();
+    table.routes.push_back({ .name = "r", .host = (*anyName<AccountId>()).value(), .pathPrefix = "/", .isPublic = *rc::gen::arbitrary<bool>(), .hasLargeBodies = *rc::gen::arbitrary<bool>(), .problem = (*anyName<AccountId>()).value() });
+    auto digests = rc::gen::container<std::vector<std::string>>(rc::gen::just(std::string(64, 'a')));
+    table.tenants.push_back({ *anyName<AccountId>(), *digests, *rc::gen::arbitrary<uint32_t>(), *rc::gen::inRange(0, 1000) / 7.0, *rc::gen::inRange(0, 1000) / 7.0, (*anyName<AccountId>()).value(), *rc::gen::arbitrary<bool>() });
+    table.omissions = { (*anyName<AccountId>()).value() };
+    return { 2, 7, std::move(table) };
+}
+
 inline MessageBody anyBody()
 {
     auto sequence = *rc::gen::arbitrary<uint64_t>();
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 13)) {
     case 0:
         return Ping { sequence, anyRumors() };
     case 1:
@@ -107,6 +118,8 @@
         return ClaimReply { sequence, *anyNumber<Incarnation>(), anyEnumValue<ClaimVerdict>(), Duration(7), *anyNumber<ClaimEpoch>(), *anyName<InstanceId>() };
     case 10:
         return ClaimOutcome { sequence, *anyName<ServiceName>(), 2, *anyName<AccountId>(), *anyName<IdempotencyKey>(), *anyName<RequestId>(), anyEnumValue<Outcome>() };
+    case 11:
+        return anyRouteTablePart();
     default:
         return ClaimHandover { *anyName<ServiceName>(), 1, *anyNumber<ClaimEpoch>(), 4, *rc::gen::arbitrary<bool>(), { anyClaimEntry() } };
     }
--- a/Tests/LibDecision/Configuration/TestRouteConfiguration.cpp
+++ b/Tests/LibDecision/Configuration/TestRouteConfiguration.cpp
@@ -1,6 +1,7 @@
 #include "../Membership/MemberProcess.h"
 
 #include <LibDecision/Configuration/RouteConfiguration.h>
+#include <LibDecision/Membership/RecordSize.h>
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -50,6 +51,7 @@
 
     std::optional<Instant> nextTimer() const { return earliest(m_membership.nextTimer(), m_routes.nextTimer()); }
     Revision routesVersion() const { return m_routes.version(); }
+    const RouteTable* table() const { return m_routes.table(); }
 
 private:
     template <typename Action>
@@ -120,6 +122,7 @@
     // Processes whose watches are never answered; what they ask from then on is.
     std::set<size_t> deafWatchers;
     size_t routes { 1 };
+    size_t tenants { 0 };
 
 private:
     void forward(size_t process, const CallPlatform& call)
@@ -150,6 +153,8 @@
             auto name = std::to_string(route);
             table->routes.push_back({ "r" + name, "office.example", "/" + name + "/", { { ServiceName("desk"), 1 } } });
         }
+        for (size_t tenant = 0; tenant < tenants; ++tenant)
+            table->tenants.push_back({ AccountId("tenant-" + std::to_string(tenant)), { std::to_string(tenant) + std::string(64, 'a') } });
         m_fleet.deliverLater(process, 5ms, PlatformReplied { { .tag = call.tag, .status = PlatformStatus::Done, .index = m_version, .routes = table } });
     }
 
@@ -225,6 +230,28 @@
     RC_ASSERT(fleet.isInForceEverywhere());
 }
 
+// Tenants that are lost between processes would get 401 there; parts beyond the message limit would never arrive.
+TEST(RouteConfiguration, ATableWithSeventyFiveThousandTenantsArrivesWholeInMessagesBelowTheLimit)
+{
+    constexpr size_t messageLimit = 256 * 1024;
+    RouteFleet fleet(8, 1, 1);
+    fleet.routes = 2 * RouteConfiguration::routesPerPart;
+    fleet.tenants = 75'000;
+    size_t largest = 0;
+    fleet.fleet().loses = [&](const SendMessage& message) {
+        if (std::holds_alternative<RouteTablePart>(message.body))
+            largest = std::max(largest, estimatedSize(message.body));
+        return false;
+    };
+    fleet.publish();
+    fleet.runFor(adoptionBound);
+    EXPECT_TRUE(fleet.isInForceEverywhere());
+    EXPECT_GT(largest, 0u);
+    EXPECT_LT(largest, messageLimit);
+    for (size_t index = 0; index < fleet.fleet().size(); ++index)
+        EXPECT_EQ(fleet.fleet().process(index).table()->tenants.size(), fleet.tenants);
+}
+
 // A process that is merely behind for a moment must not call the platform, since changes may follow each other closely.
 TEST(RouteConfiguration, ChangesInQuickSuccessionAreReadByTheWatchersOnly)
 {
--- a/Tests/LibModel/TestRouteTable.cpp
+++ b/Tests/LibModel/TestRouteTable.cpp
@@ -83,4 +83,26 @@
     refuses([](RouteTable& table) { table.routes[0].maximumAttempts = 0; });
     refuses([](RouteTable& table) { table.services.push_back(table.services[0]); });
     refuses([](RouteTable& table) { table.services[0].maximumConnections = 0; });
+    refuses([](RouteTable& table) { table.tenants = { Tenant { AccountId("a"), { "1" } }, Tenant { AccountId("b"), { "1" } } }; });
+    refuses([](RouteTable& table) { table.tenants = { Tenant { AccountId("a"), { "1" } }, Tenant { AccountId("a"), { "2" } } }; });
+    refuses([](RouteTable& table) { table.tenants = { Tenant { .name = AccountId("a"), .requestsPerSecond = -1 } }; });
+    refuses([](RouteTable& table) { table.tenants = { Tenant { .name = AccountId("a"), .burst = -1 } }; });
+    refuses([](RouteTable& table) { table.tenants = { Tenant { .name = AccountId("a\r\nb") } }; });
+}
+
+// A table with isolated problems is exchanged between processes, which check it again.
+RC_GTEST_PROP(RouteTable, AnyTableIsAcceptedOnceItsProblemsAreIsolated, ())
+{
+    RouteTable table = tableOf({ "/a/" });
+    auto digest = rc::gen::element<std::string>("1", "2", "3", "4");
+    auto name = rc::gen::element<std::string>("", "a", "b", " c", "d\n");
+    auto count = *rc::gen::inRange(0, 6);
+    for (int index = 0; index < count; ++index) {
+        table.tenants.push_back({ AccountId(*name), *rc::gen::container<std::vector<std::string>>(digest), 0, *rc::gen::element(-1.0, 0.0, 2.0) });
+        table.routes.push_back({ "r", *rc::gen::element<std::string>("", "office.example"), *rc::gen::element<std::string>("/a/", "/b/", "b"), { { ServiceName(*name), 1 } } });
+        table.services.push_back({ ServiceName(*name), "/health", *rc::gen::element(0u, 10u) });
+    }
+    isolateProblems(table);
+    checkRouteTable(table, "test");
+    RC_ASSERT(table.omissions.size() <= 100u);
 }
--- a/Tests/PlatformAdapter/TestDecoding.cpp
+++ b/Tests/PlatformAdapter/TestDecoding.cpp
@@ -71,11 +71,114 @@
 TEST(OperatorConfiguration, RefusesWhatCannotBeUsed)
 {
     for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>> {
-             { "\"version\":7", "\"version\":\"7\"" }, { "unsafe", "perhaps" }, { "\"timeoutMs\":1500,", "" }, { "\"maxAttempts\":2", "\"maxAttempts\":0" },
-             { "wuno96b", "other" }, { "[", "" }, { "\"routes\"", "\"ways\"" } })
+             { "\"version\":7", "\"version\":\"7\"" }, { "[", "" }, { "\"routes\"", "\"ways\"" }, { "\"services\"", "\"servers\"" } })
         EXPECT_THROW(readOperatorConfiguration(replaced(configuration, from, to)), Error) << to;
 }
 
+// One malformed route used to cost the whole configuration. Its requests must be refused as not run, not as unknown.
+TEST(OperatorConfiguration, AMalformedRouteKeepsItsPlaceAndTheOthersStayInForce)
+{
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>> {
+             { "unsafe", "perhaps" }, { "\"unsafe\"", "[]" }, { "\"timeoutMs\":1500,", "" }, { "\"timeoutMs\":1500", "\"timeoutMs\":0" }, { "\"timeoutMs\":1500", "\"timeoutMs\":1e300" },
+             { "\"maxAttempts\":2", "\"maxAttempts\":0" }, { "\"name\":\"r1\"", "\"name\":1" }, { "\"service\":\"huvo11a\"", "\"service\":\"other\"" }, { "\"priority\":1", "\"public\":\"yes\"" } }) {
+        auto table = readOperatorConfiguration(replaced(configuration, from, to));
+        ASSERT_EQ(table.routes.size(), 2u) << to;
+        EXPECT_FALSE(table.routes[0].isUsable()) << to;
+        EXPECT_EQ(table.routes[0].pathPrefix, "/pufi791/");
+        EXPECT_TRUE(table.routes[1].isUsable()) << to;
+        EXPECT_EQ(problemsOf(table).size(), 1u);
+    }
+}
+
+TEST(OperatorConfiguration, WhatHasNoPlaceIsLeftOutWithAMessage)
+{
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>> {
+             { "\"host\":\"ficu95.example\",", "" }, { "\"/pufi791/\"", "\"pufi\"" }, { "/pufi791/", "/lohu930/" }, { "{\"name\":\"r1\"", "5,{\"name\":\"r1\"" },
+             { "\"maxBodyBytes\":67108864", "\"maxBodyBytes\":-1" } }) {
+        auto table = readOperatorConfiguration(replaced(configuration, from, to));
+        EXPECT_EQ(table.omissions.size(), 1u) << to;
+        EXPECT_EQ(table.limits.idleTimeout, 15s);
+    }
+    auto withoutService = readOperatorConfiguration(replaced(configuration, "{\"name\":\"wuno96b\"", "{\"name\":7"));
+    EXPECT_TRUE(withoutService.routes[0].isUsable());
+    EXPECT_FALSE(withoutService.routes[1].isUsable());
+}
+
+static RouteTable withTenants(const std::string& tenants)
+{
+    return readOperatorConfiguration(replaced(configuration, "\"limits\"", "\"tenants\":" + tenants + ",\"limits\""));
+}
+
+TEST(OperatorConfiguration, ReadsTenantsPublicRoutesAndUploads)
+{
+    auto text = replaced(replaced(configuration, "\"unsafe\"", "\"upload\",\"public\":true"), "\"limits\"",
+        R"("tenants":[{"name":"north","apiKeys":["abc"],"priority":1,"ratePerS":2.5,"burst":7,"new":1},{"name":"south","apiKeys":[]}],"limits")");
+    auto table = readOperatorConfiguration(text);
+    EXPECT_TRUE(table.routes[0].isPublic && table.routes[0].hasLargeBodies && !table.routes[0].isIdempotent);
+    EXPECT_FALSE(table.routes[1].isPublic || table.routes[1].hasLargeBodies);
+    ASSERT_EQ(table.tenants.size(), 2u);
+    // SHA-256 of "abc" as in FIPS 180-2.
+    EXPECT_EQ(table.tenants[0], (Tenant { AccountId("north"), { "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad" }, 1, 2.5, 7 }));
+    EXPECT_EQ(table.tenants[1], (Tenant { AccountId("south") }));
+    EXPECT_TRUE(problemsOf(table).empty());
+    EXPECT_TRUE(withTenants("[]").tenants.empty());
+    EXPECT_TRUE(withTenants("null").tenants.empty());
+}
+
+// 401 for a tenant whose entry is malformed would tell its callers that their key was revoked.
+TEST(OperatorConfiguration, AMalformedTenantKeepsItsKeysAndTheOthersStayInForce)
+{
+    const std::string good = R"({"name":"south","apiKeys":["k2"]})";
+    for (const std::string bad : { R"({"name":"","apiKeys":["k1"]})", R"({"apiKeys":["k1"]})", R"({"name":"a\r\nb","apiKeys":["k1"]})", R"({"name":"n","apiKeys":["k1"],"ratePerS":-1})",
+             R"({"name":"n","apiKeys":["k1"],"burst":"5"})", R"({"name":"n","apiKeys":["k1"],"priority":-1})", R"({"name":"south","apiKeys":["k1"]})" }) {
+        auto table = withTenants("[" + good + "," + bad + "]");
+        ASSERT_EQ(table.tenants.size(), 2u);
+        EXPECT_TRUE(table.tenants[0].isUsable());
+        EXPECT_FALSE(table.tenants[1].isUsable()) << bad;
+        EXPECT_EQ(table.tenants[1].keyDigests.size(), 1u);
+        EXPECT_FALSE(table.tenants[1].hasUnreadKeys);
+    }
+    for (const std::string bad : { "5", R"({"name":"n","apiKeys":"k1"})", R"({"name":"n","apiKeys":["k1",5]})", R"({"name":"n","apiKeys":[""]})" })
+        EXPECT_TRUE(withTenants("[" + good + "," + bad + "]").tenants[1].hasUnreadKeys) << bad;
+    EXPECT_TRUE(withTenants("{}").tenants[0].hasUnreadKeys);
+}
+
+// A key of two tenants must neither run on account of the wrong one nor cost both their other keys.
+TEST(OperatorConfiguration, AKeyOfTwoTenantsBelongsToNeither)
+{
+    auto table = withTenants(R"([{"name":"north","apiKeys":["k1","both","k1"]},{"name":"south","apiKeys":["both","k2"]}])");
+    ASSERT_EQ(table.tenants.size(), 3u);
+    EXPECT_EQ(table.tenants[0].keyDigests.size(), 1u);
+    EXPECT_TRUE(table.tenants[0].isUsable() && table.tenants[1].isUsable());
+    EXPECT_EQ(table.tenants[1].keyDigests.size(), 1u);
+    EXPECT_FALSE(table.tenants[2].isUsable());
+    EXPECT_EQ(table.tenants[2].keyDigests.size(), 1u);
+    for (const auto& problem : problemsOf(table))
+        EXPECT_EQ(problem.find("both"), std::string::npos) << "a key in a message";
+}
+
+// The JSON parser's own messages quote the text.
+TEST(OperatorConfiguration, NoErrorQuotesAKey)
+{
+    try {
+        withTenants(R"([{"name":"north","apiKeys":[secret0815]}])");
+        ADD_FAILURE();
+    } catch (const Error& error) {
+        EXPECT_EQ(std::string(error.what()).find("secret0815"), std::string::npos);
+    }
+}
+
+RC_GTEST_PROP(OperatorConfiguration, NoBytesDoWorseThanARefusal, (const std::string& bytes, uint16_t place))
+{
+    auto text = replaced(configuration, "\"limits\"", R"("tenants":[{"name":"north","apiKeys":["abc"],"ratePerS":2.5}],"limits")");
+    text.insert(place % text.size(), bytes);
+    try {
+        readOperatorConfiguration(text);
+    } catch (const Error&) {
+        RC_SUCCEED("refused");
+    }
+}
+
 TEST(StoreReply, ReadsItemsAndLeavesOutWhatIsNone)
 {
     Transport::HttpResponse response { 200, {}, R"({"items":[{"key":"a","value":"bm9kZS0x","revision":412,"created":412,"lease":77120},{"key":"b","value":"?","revision":1},5],"hasMore":true,"at":530})" };
--- a/Tests/PlatformAdapter/TestNodeFile.cpp
+++ b/Tests/PlatformAdapter/TestNodeFile.cpp
@@ -52,6 +52,18 @@
     expectError(replaced("heartbeatMs=1500", "heartbeatMs=-1"), "heartbeatMs", 8);
 }
 
+// The bounds of tenants aren't all numbers; a wrong one must not be taken for "off".
+TEST(NodeFile, ReadsTheBoundsOfTenants)
+{
+    EXPECT_EQ(readNodeFile(valid, "settings.conf").tenants, TenantTerms());
+    auto withBounds = [](const std::string& bounds) { return readNodeFile(valid + "bounds=" + bounds + "\n", "settings.conf").tenants; };
+    auto terms = withBounds("strictRevocation=true,revokeMs=4000.5,quotaWindowS=2.5,quotaOvershoot=0.2");
+    EXPECT_EQ(terms, (TenantTerms { true, 4000500us, 2500ms, 0.2 }));
+    EXPECT_FALSE(withBounds("strictRevocation=false").hasStrictRevocation);
+    for (const auto* bad : { "strictRevocation=yes", "strictRevocation=1", "revokeMs=0", "revokeMs=soon", "quotaWindowS=0", "quotaOvershoot=-1" })
+        EXPECT_THROW(withBounds(bad), DocumentError) << bad;
+}
+
 // The platform scales its figures with the size of a deployment, so that any of them may have a fraction.
 TEST(NodeFile, ReadsEveryNumberWithAFraction)
 {
--- a/Tests/fulmard/TestOddEntries.cpp
+++ b/Tests/fulmard/TestOddEntries.cpp
@@ -118,11 +118,24 @@
     EXPECT_TRUE(runUntil([&] { return state().routes().version() == Revision(9); }));
 }
 
+// One odd entry used to keep every later change of the configuration from being taken.
+TEST_F(OddEntries, AnOddEntryOfAConfigurationIsReportedAndTheRestIsTaken)
+{
+    start();
+    uint64_t version = 7;
+    for (const std::string entries : { R"("routes":[{"name":[]}],"services":[])", R"("routes":[],"services":[{"name":"a","maxConnections":99999999999999999999}])", R"("routes":[],"services":[],"tenants":7)" }) {
+        ++version;
+        m_store.put("op/config", "{\"version\":" + std::to_string(version) + "," + entries + "}");
+        EXPECT_TRUE(runUntil([&] { return state().routes().version() == Revision(version); })) << entries;
+        EXPECT_EQ(state().routes().problems().size(), 1u) << entries;
+    }
+}
+
 TEST_F(OddEntries, AnOddConfigurationKeepsTheOneInForceAndTheNextIsTaken)
 {
     start();
     ASSERT_TRUE(runUntil([&] { return state().routes().version() == Revision(7); }));
-    for (const auto& value : { nested(100'000), std::string(R"({"version":1e999,"routes":[],"services":[]})"), std::string(R"({"version":8,"routes":[{"name":[]}],"services":[]})"), std::string(R"({"version":8,"routes":[],"services":[{"name":"a","maxConnections":99999999999999999999}]})") }) {
+    for (const auto& value : { nested(100'000), std::string(R"({"version":1e999,"routes":[],"services":[]})"), std::string(R"({"version":8,"routes":{},"services":[]})"), std::string(R"({"version":8,"routes":[],"services":5})") }) {
         m_store.put("op/config", value);
         auto until = m_loop.now() + 150ms;
         runUntil([&] { return m_loop.now() >= until; });
--- a/Utilities/fulmarctl/StatusCommand.cpp
+++ b/Utilities/fulmarctl/StatusCommand.cpp
@@ -51,6 +51,23 @@
         table.print(out);
     }
 
+    // The processes have one route table, so each problem is printed once, with the number of processes that have it.
+    void printRouteProblems(std::ostream& out, const std::vector<NodeAnswer>& answers)
+    {
+        std::map<std::string, size_t> nodesByProblem;
+        for (const auto& answer : answers) {
+            for (const auto& problem : answer.body["self"]["routeProblems"])
+                ++nodesByProblem[problem.asString()];
+        }
+        if (nodesByProblem.empty())
+            return;
+        Table table({ "UNUSABLE IN THE ROUTE TABLE", "AT PROCESSES" });
+        for (const auto& [problem, count] : nodesByProblem)
+            table.add({ problem, std::to_string(count) });
+        out << "\n";
+        table.print(out);
+    }
+
     void printNodes(std::ostream& out, const std::vector<NodeAnswer>& answers)
     {
         for (const auto& answer : answers) {
@@ -82,6 +99,7 @@
     printServices(context.out, status);
     context.out << "\n";
     printProfiles(context.out, answers);
+    printRouteProblems(context.out, answers);
     printNodes(context.out, answers);
     return ExitCode::Done;
 }
