LibDecision: Identify tenants by their API keys at the ingress

Callers of a deployment with tenants were served without a key, and an `Authorization` header went on to backend servers.

A table with tenants now comes with a TenantDirectory (digest to tenant, one hash look-up). A request is checked in the order table (503), route (404), unusable route (503), key (401), and refusalForKey() is the place for further checks. The tenant's name becomes the account, goes into the fingerprint and, as `EdgeSettings::tenant`, to the backend server; its priority goes before the route's. The core decides the account, so ForwardCall carries it (with parent and fingerprint) for the run order.

An id with a dot in it was enough to count as a call of a running request. If there are tenants, the part before the dot must be a request that runs at this process's own backend server; its call goes by that request's account. Anything else needs a key, and a request with a key is never taken for a call.

A key that may belong to a tenant whose entry is malformed is refused as tenant-unusable (503), since 401 would tell its holder that it was revoked.

--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -105,6 +105,8 @@
     bool isRunningFirstArrival(const RequestId&) const;
     // The priority of a request that is running here.
     std::optional<uint32_t> priorityOfRunning(const RequestId&) const;
+    // The account of a request that is running here.
+    std::optional<AccountId> accountOfRunning(const RequestId&) const;
     LoadReport load(const BackendId&, Instant now) const;
     // Number of requests that are queued, claiming or running.
     size_t inFlight() const { return m_calls.size(); }
@@ -131,6 +133,8 @@
     // The moving average weights a new service time by 1 / serviceTimeSamples.
     static constexpr int serviceTimeSamples = 8;
 
+    // Returns nullptr if no request with this id is running here.
+    const AdmittedCall* findRunning(const RequestId&) const;
     void handleWaitTimeout(Turn&, SidecarCallId);
     // Handles an attempt that was received before, or that a predecessor of this process may have received. Returns
     // false if it is new.
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -402,12 +402,26 @@
 }
 
 template <ClaimGate Gate, RunObserver Observer>
-std::optional<uint32_t> SidecarAdmission<Gate, Observer>::priorityOfRunning(const RequestId& request) const
+const AdmittedCall* SidecarAdmission<Gate, Observer>::findRunning(const RequestId& request) const
 {
     auto running = std::ranges::find_if(m_calls, [&](const auto& entry) {
         return entry.second.request.id == request && entry.second.stage == AdmissionStage::Running;
     });
-    return running == m_calls.end() ? std::nullopt : std::optional(running->second.priority);
+    return running == m_calls.end() ? nullptr : &running->second;
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+std::optional<uint32_t> SidecarAdmission<Gate, Observer>::priorityOfRunning(const RequestId& request) const
+{
+    const auto* running = findRunning(request);
+    return running ? std::optional(running->priority) : std::nullopt;
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+std::optional<AccountId> SidecarAdmission<Gate, Observer>::accountOfRunning(const RequestId& request) const
+{
+    const auto* running = findRunning(request);
+    return running ? std::optional(running->request.account) : std::nullopt;
 }
 
 template <ClaimGate Gate, RunObserver Observer>
--- a/Libraries/LibDecision/CallTerms.h
+++ b/Libraries/LibDecision/CallTerms.h
@@ -26,6 +26,8 @@
     uint32_t maximumAttempts { 1 };
     // True for a call made by a run that isn't known to be a request's first: its own first arrival counts as a retry.
     bool isCountedAsRetry { false };
+    // The tenant whose API key the request carries; empty if it needs none.
+    AccountId tenant;
 
     bool operator==(const CallTerms&) const = default;
 };
--- a/Libraries/LibDecision/Calls/AttemptVerdict.cpp
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.cpp
@@ -83,6 +83,10 @@
     switch (reason) {
     case Reason::NoBackend:
     case Reason::NotConfigured:
+    case Reason::RouteUnusable:
+    case Reason::TenantUnusable:
+    case Reason::ConfigurationUnproven:
+    case Reason::QuotaUnavailable:
     case Reason::QueueFull:
     case Reason::FairShareExceeded:
     case Reason::BackendDraining:
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -298,6 +298,10 @@
     effect.progressTimeout = profileOf(call.request.service).deadlines.progressTimeout;
     effect.isIdempotent = call.terms.isIdempotent;
     effect.requiresDeduplication = canResend(call, turn.now());
+    effect.parent = call.request.parent;
+    effect.account = call.request.account;
+    effect.fingerprint = call.request.fingerprint;
+    effect.isFromTenant = !call.terms.tenant.isEmpty();
     call.forwarded = effect;
     call.resends = 0;
     turn.emit(std::move(effect));
--- a/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
@@ -243,6 +243,7 @@
     auto before = version();
     m_table = std::move(table);
     m_index = RouteIndex(*m_table);
+    m_tenants = TenantDirectory(*m_table);
     std::ranges::for_each(m_table->services, [this](const ServiceTerms& terms) { m_profiles.putServiceTerms(terms); });
     announce(turn);
     explain(turn, DecisionKind::RoutesAdopted, source, version(), std::to_string(m_table->routes.size()) + " routes; replaces version " + std::to_string(before.value()));
--- a/Libraries/LibDecision/Configuration/RouteConfiguration.h
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/Configuration/Backoff.h>
 #include <LibDecision/Configuration/ProfileRegistry.h>
+#include <LibDecision/Configuration/TenantDirectory.h>
 #include <LibDecision/Membership/Membership.h>
 #include <LibDecision/Turn.h>
 #include <LibModel/RouteTable.h>
@@ -51,6 +52,7 @@
     Revision newestHeard() const { return m_newestHeard; }
     // How long the pending watch has waited; zero without one.
     Duration watchAge(Instant now) const { return m_pendingWatch ? now - m_watchStartedAt : Duration(0); }
+    const TenantDirectory& tenants() const { return m_tenants; }
     // Entries of the table in force that can't be used, with the reasons.
     const std::vector<std::string>& problems() const { return m_problems; }
     Revision version() const { return m_table ? m_table->version : Revision {}; }
@@ -81,6 +83,7 @@
     ProfileRegistry& m_profiles;
     std::shared_ptr<const RouteTable> m_table;
     RouteIndex m_index;
+    TenantDirectory m_tenants;
     std::vector<std::string> m_problems;
     std::optional<PlatformTag> m_pendingWatch;
     Instant m_watchStartedAt;
--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -55,6 +55,12 @@
     bool requiresDeduplication { false };
     // Time since the request was first sent; zero unless it was sent before over a connection that may have failed.
     Duration firstSentAgo { 0 };
+    // The request's parent, account and fingerprint as decided, which differ from what the caller said if there are tenants.
+    std::optional<RequestId> parent;
+    AccountId account;
+    Fingerprint fingerprint;
+    // Whether the account is that of a tenant, whose name the backend server is told.
+    bool isFromTenant { false };
 };
 
 // Cancels an attempt at the sidecar. No report of the attempt is expected afterwards.
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -1,5 +1,8 @@
 #include <LibDecision/NodeState.h>
 
+#include <LibDecision/Admission/RequestPriority.h>
+#include <LibDecision/Rendezvous.h>
+
 #include <algorithm>
 #include <initializer_list>
 #include <iterator>
@@ -163,21 +166,51 @@
     const auto* route = m_routes.find(arrived.authority, arrived.request.path);
     if (!route)
         return Reason::NoRoute;
+    if (!route->isUsable())
+        return Reason::RouteUnusable;
     std::vector<double> weights;
     std::ranges::transform(route->targets, std::back_inserter(weights), &RouteTarget::weight);
     auto target = std::discrete_distribution<size_t>(weights.begin(), weights.end())(turn.random());
     arrived.request.service = route->targets[target].service;
     arrived.terms = CallTerms { route->name, route->isIdempotent, route->timeout, route->latencyObjective, route->priority, route->maximumAttempts };
-    arrived.terms->priority = priorityOf(*route, arrived.request);
+    arrived.terms->priority = priorityOf(*route, arrived.request, 0);
     arrived.terms->isCountedAsRetry = arrived.request.parent && !m_admission.isRunningFirstArrival(*arrived.request.parent);
+    return m_routes.tenants().hasTenants() ? identify(turn, *route, arrived) : std::nullopt;
+}
+
+std::optional<Reason> NodeState::identify(const Turn& turn, const Route& route, CallArrived& arrived) const
+{
+    auto& request = arrived.request;
+    // Anybody can send an id of the form that calls of running requests have, so the request must be running here.
+    if (auto account = request.parent ? m_admission.accountOfRunning(*request.parent) : std::nullopt) {
+        request.account = *account;
+        return std::nullopt;
+    }
+    if (route.isPublic)
+        return std::nullopt;
+    auto match = m_routes.tenants().find(arrived.keyDigest);
+    if (!match.tenant)
+        return match.refusal;
+    // A caller with a key is no run, whatever the id of its request looks like.
+    request.parent.reset();
+    arrived.terms->isCountedAsRetry = false;
+    request.account = match.tenant->name;
+    request.fingerprint.high ^= stableHash({ match.tenant->name.value() });
+    arrived.terms->tenant = match.tenant->name;
+    arrived.terms->priority = priorityOf(route, request, match.tenant->priority);
+    return refusalForKey(turn, arrived, *match.tenant);
+}
+
+std::optional<Reason> NodeState::refusalForKey(const Turn&, const CallArrived&, const Tenant&) const
+{
     return std::nullopt;
 }
 
-uint32_t NodeState::priorityOf(const Route& route, const RequestInfo& request) const
+uint32_t NodeState::priorityOf(const Route& route, const RequestInfo& request, uint32_t tenantPriority) const
 {
     // A running request holds a slot while it waits for the calls that it makes, and its work is lost if they fail. So
     // they go one priority before it.
-    auto priority = route.priority + 1;
+    auto priority = (m_routes.tenants().hasTenants() ? combinedPriority(tenantPriority, route.priority) : route.priority) + 1;
     if (!request.parent)
         return priority;
     return std::max(1U, m_admission.priorityOfRunning(*request.parent).value_or(priority)) - 1;
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -54,8 +54,13 @@
     void receive(Turn&, const CallArrived&);
     // Sets the request's service and terms from the route table. Returns the reason for refusal if no route applies.
     std::optional<Reason> applyRoute(Turn&, CallArrived&) const;
+    // Decides who sent the request, if there are tenants, and takes its account and terms from that. Returns the reason for
+    // refusal if the request needs an API key and has none that is in force.
+    std::optional<Reason> identify(const Turn&, const Route&, CallArrived&) const;
+    // Returns why a request with a key of this tenant must be refused although the key is in the table in force.
+    std::optional<Reason> refusalForKey(const Turn&, const CallArrived&, const Tenant&) const;
     // Returns the priority of a request of this route among those that wait for a slot; 0 is the most urgent.
-    uint32_t priorityOf(const Route&, const RequestInfo&) const;
+    uint32_t priorityOf(const Route&, const RequestInfo&, uint32_t tenantPriority) const;
     void receive(Turn&, const CallerDisconnected&);
     void receive(Turn&, const AttemptFinished&);
     void receive(Turn&, const SidecarCallArrived&);
--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -60,6 +60,7 @@
         settings.deadline = reader.stringOr("deadline", settings.deadline);
         settings.expectedBackend = reader.stringOr("expected-backend", settings.expectedBackend);
         settings.callerService = reader.stringOr("caller-service", settings.callerService);
+        settings.tenant = reader.stringOr("tenant", settings.tenant);
         settings.notRun = reader.stringOr("not-run", settings.notRun);
         settings.notRunValue = reader.stringOr("not-run-value", settings.notRunValue);
         settings.answerProof = reader.stringOr("answer-proof", settings.answerProof);
--- a/Libraries/LibModel/Settings.h
+++ b/Libraries/LibModel/Settings.h
@@ -114,6 +114,8 @@
     std::string expectedBackend;
     // Tells the backend server which service called.
     std::string callerService;
+    // Tells the backend server the name of the tenant whose API key the request carried. Callers can't set it.
+    std::string tenant;
     // Marks an answer whose request the backend server didn't run.
     std::string notRun { "fulmar-outcome" };
     // The value that the mark has; any if empty.
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -139,6 +139,7 @@
         m_options.settings.limits.answerBodyBytes,
         m_options.settings.edge,
         m_options.settings.service,
+        [this] { return node().state().routes().tenants().hasTenants(); },
     };
 }
 
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -1,6 +1,9 @@
 #include <Services/fulmard/IngressCalls.h>
 
+#include <LibControl/Digest.h>
+#include <Services/fulmard/BearerKey.h>
 #include <Services/fulmard/ClientOutcome.h>
+#include <Services/fulmard/SuspendedTime.h>
 
 #include <algorithm>
 
@@ -83,9 +86,10 @@
 
 void IngressCalls::arrive(Transport::ServerRequestId serverRequest, Transport::HttpRequest request)
 {
+    auto keyDigest = takeIdentity(request);
     RequestInfo info;
     try {
-        info = m_parties.reader.read(request);
+        info = m_parties.reader.read(request, !keyDigest.empty());
     } catch (const BadRequestError& error) {
         m_parties.respond(serverRequest, makeProblemResponse({ Outcome::NotRun, Reason::BadRequest, "read-request", error.what(), Duration::zero(), "" }, m_parties.edge.statuses));
         return;
@@ -103,9 +107,21 @@
     auto span = m_parties.observability.tracer().startSpan("ingress", Transport::findHeader(request.headers, "traceparent").value_or(""));
     span->SetTag("request", info.id.value());
     span->SetTag("service", info.service.value());
-    auto shared = std::make_shared<const Transport::HttpRequest>(std::move(request));
+    auto shared = std::make_shared<Transport::HttpRequest>(std::move(request));
     m_calls.emplace(m_lastId, Call { serverRequest, info, std::move(shared), m_parties.now(), std::move(span), {} });
-    m_parties.sink(Decision::CallArrived { m_lastId, std::move(info), authority, std::nullopt });
+    m_parties.sink(Decision::CallArrived { m_lastId, std::move(info), authority, std::nullopt, std::move(keyDigest), readSuspendedTime() });
+}
+
+std::string IngressCalls::takeIdentity(Transport::HttpRequest& request) const
+{
+    if (!m_parties.hasTenants())
+        return {};
+    auto key = findBearerKey(request.headers);
+    auto digest = key ? Control::sha256(*key) : std::string();
+    std::erase_if(request.headers, [this](const Transport::HttpHeader& header) {
+        return header.name == authorizationHeader || (!m_parties.edge.tenant.empty() && header.name == m_parties.edge.tenant);
+    });
+    return digest;
 }
 
 void IngressCalls::callerGone(Transport::ServerRequestId serverRequest)
@@ -130,6 +146,9 @@
     order.backend = effect.backend;
     order.backendIncarnation = effect.incarnation;
     order.request = call.info;
+    order.request.parent = effect.parent;
+    order.request.account = effect.account;
+    order.request.fingerprint = effect.fingerprint;
     order.request.remaining = effect.remaining;
     order.isIdempotent = effect.isIdempotent;
     order.latencyObjective = effect.latencyObjective;
@@ -152,6 +171,8 @@
     if (call == m_calls.end())
         return;
     auto order = makeOrder(call->second, effect);
+    if (effect.isFromTenant && !m_parties.edge.tenant.empty())
+        Transport::setHeader(call->second.request->headers, m_parties.edge.tenant, effect.account.value());
     auto& attempt = call->second.attempts[effect.attempt];
     // An order that is sent again replaces the one on the connection in doubt.
     cancel(attempt);
--- a/Services/fulmard/IngressCalls.h
+++ b/Services/fulmard/IngressCalls.h
@@ -36,6 +36,8 @@
         EdgeSettings edge;
         // The service beside this process, whose requests come from here.
         ServiceName callerService;
+        // Whether there are tenants, so that callers identify themselves with API keys.
+        std::function<bool()> hasTenants;
     };
 
     explicit IngressCalls(Parties);
@@ -63,12 +65,15 @@
     struct Call {
         Transport::ServerRequestId serverRequest { 0 };
         RequestInfo info;
-        std::shared_ptr<const Transport::HttpRequest> request;
+        std::shared_ptr<Transport::HttpRequest> request;
         Instant arrivedAt;
         std::unique_ptr<opentracing::Span> span;
         std::unordered_map<AttemptId, Attempt> attempts;
     };
 
+    // Takes the caller's API key and what it says of its identity from the request. Returns the digest of the key; empty
+    // if there is none.
+    std::string takeIdentity(Transport::HttpRequest&) const;
     Control::RunOrder makeOrder(const Call&, const Decision::ForwardCall&) const;
     void sendLocal(const Call&, Attempt&, const Decision::ForwardCall&, const Control::RunOrder&);
     void sendRemote(const Call&, Attempt&, const Decision::ForwardCall&, const Control::RunOrder&);
--- a/Services/fulmard/ProblemDetails.cpp
+++ b/Services/fulmard/ProblemDetails.cpp
@@ -18,11 +18,14 @@
 
     constexpr uint16_t serviceUnavailable = 503;
     constexpr uint16_t badGateway = 502;
+    constexpr uint16_t unauthorized = 401;
 
     // Reasons with a status of their own; the others follow the outcome.
     constexpr std::array reasonStatuses {
         ReasonStatus { Reason::NoSuchService, 404 },
         ReasonStatus { Reason::NoRoute, 404 },
+        ReasonStatus { Reason::UnknownKey, unauthorized },
+        ReasonStatus { Reason::QuotaExceeded, 429 },
         ReasonStatus { Reason::BodyTooLarge, 413 },
         ReasonStatus { Reason::BadRequest, 400 },
         ReasonStatus { Reason::DeadlineExceeded, 504 },
@@ -34,8 +37,8 @@
         ReasonStatus { Reason::CrashSuspected, 422 },
     };
 
-    // What is wrong with the request itself has its own status whatever the scheme: sending it again wouldn't help.
-    constexpr std::array callerFaults { Reason::NoRoute, Reason::BodyTooLarge, Reason::BadRequest };
+    // What the caller itself did wrong has its own status whatever the scheme: the fleet isn't at fault.
+    constexpr std::array callerFaults { Reason::NoRoute, Reason::UnknownKey, Reason::QuotaExceeded, Reason::BodyTooLarge, Reason::BadRequest };
 
     uint16_t promiseOf(Outcome outcome, Reason reason)
     {
@@ -103,6 +106,9 @@
         { HeaderName::step, problem.step },
         { HeaderName::peer, problem.peer },
     };
+    // https://www.rfc-editor.org/rfc/rfc9110#section-11.6.1
+    if (status == unauthorized)
+        response.headers.push_back({ "www-authenticate", "Bearer" });
     if (!problem.requestId.empty())
         response.headers.push_back({ HeaderName::requestId, problem.requestId });
     if (problem.retryAfter > Duration::zero())
--- a/Services/fulmard/RequestReader.cpp
+++ b/Services/fulmard/RequestReader.cpp
@@ -77,7 +77,7 @@
 {
 }
 
-RequestInfo RequestReader::read(const Transport::HttpRequest& request)
+RequestInfo RequestReader::read(const Transport::HttpRequest& request, bool hasKey)
 {
     RequestInfo info;
     if (m_edge.hasCallerRequestIds)
@@ -96,7 +96,7 @@
             throw BadRequestError("idempotency-key must not be empty");
         info.key = IdempotencyKey(std::move(key));
     }
-    info.fingerprint = fingerprintOf(info, request);
+    info.fingerprint = fingerprintOf(info, request, hasKey);
     return info;
 }
 
@@ -115,10 +115,10 @@
     return RequestId(text.data());
 }
 
-Fingerprint fingerprintOf(const RequestInfo& info, const Transport::HttpRequest& request)
+Fingerprint fingerprintOf(const RequestInfo& info, const Transport::HttpRequest& request, bool hasKey)
 {
     // The address that stands for an unnamed account is that of wherever the request entered the fleet.
-    auto namedAccount = Transport::findHeader(request.headers, CallerHeader::account).value_or("");
+    auto namedAccount = hasKey ? "" : Transport::findHeader(request.headers, CallerHeader::account).value_or("");
     std::string identity;
     for (std::string_view part : { std::string_view(info.service.value()), std::string_view(namedAccount),
              std::string_view(request.method), std::string_view(request.target) }) {
--- a/Services/fulmard/RequestReader.h
+++ b/Services/fulmard/RequestReader.h
@@ -34,7 +34,8 @@
     RequestReader(uint64_t randomSeed, EdgeSettings);
 
     // Gives the request a new id, unless its caller chose one. Throws BadRequestError on a malformed header.
-    RequestInfo read(const Transport::HttpRequest&);
+    // An account that the caller names doesn't count in the fingerprint if the request has an API key.
+    RequestInfo read(const Transport::HttpRequest&, bool hasKey = false);
 
 private:
     RequestId makeRequestId();
@@ -45,7 +46,7 @@
 };
 
 // Hashes what makes two requests the same wherever they enter the fleet: service, account if the caller names one,
-// method, target and body.
-Fingerprint fingerprintOf(const RequestInfo&, const Transport::HttpRequest&);
+// method, target and body. The core adds the tenant of a request that has an API key.
+Fingerprint fingerprintOf(const RequestInfo&, const Transport::HttpRequest&, bool hasKey);
 
 }
--- /dev/null
+++ b/Tests/fulmard/DaemonTest.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <LibDecision/NodeState.h>
+#include <LibTransport/EventLoop.h>
+#include <LibTransport/HttpClient.h>
+#include <Services/fulmard/Daemon.h>
+#include <Tests/StandIns/StandInRevisionStore.h>
+#include <platform/InstanceReport.h>
+#include <platform/NodeFile.h>
+#include <platform/RevisionStore.h>
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Testing {
+
+using namespace Fulmard;
+
+// A whole fulmard on a loop, with a store that holds a valid configuration.
+class DaemonTest : public testing::Test {
+protected:
+    void start(const std::string& configuration = R"({"version":7,"routes":[],"services":[]})")
+    {
+        m_store.put("op/config", configuration);
+        DaemonOptions options;
+        options.settings = PlatformAdapter::readNodeFile("node=node-1\nzone=agadir\nregion=souss-massa\nlisten.inbound=127.0.0.1:1\n"
+                                                         "listen.outbound=127.0.0.1:1\nplatform.address=127.0.0.1:1\n",
+            "settings");
+        options.settings.callers = { "127.0.0.1", 0 };
+        options.settings.control = { "127.0.0.1", 0 };
+        options.settings.log.level = logLevel;
+        options.settings.trace.sampledShare = 1;
+        auto record = [this](const std::string& line) { output += line + "\n"; };
+        options.observability.logSink = record;
+        options.observability.traceSink = record;
+        auto store = m_store.endpoint();
+        options.platform.openStore = [store](Transport::EventLoop& loop) -> StoreFunction {
+            auto opened = std::make_shared<PlatformAdapter::RevisionStore>(loop, store);
+            return [opened](Decision::PlatformTag tag, const Decision::PlatformOperation& operation, Platform::PlatformCallback callback) {
+                opened->execute(tag, operation, std::move(callback));
+            };
+        };
+        options.platform.readAnnouncement = PlatformAdapter::readInstanceReport;
+        options.start = Incarnation(1);
+        m_daemon.emplace(m_loop, std::move(options));
+        m_daemon->start();
+    }
+
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        auto end = m_loop.now() + 10s;
+        while (!condition() && m_loop.now() < end)
+            m_loop.runOnce(5ms);
+        return condition();
+    }
+
+    uint16_t checkIn(const std::string& id, const std::string& body)
+    {
+        Transport::ClientRequest request;
+        request.to = m_daemon->controlEndpoint();
+        request.request = { "PUT", "", "/v1/backends/" + id, { { "content-type", "application/json" } }, body };
+        request.deadline = 5s;
+        std::optional<uint16_t> status;
+        m_client.send(std::move(request), [&](const Transport::ClientResult& result) { status = result.response.status; });
+        runUntil([&] { return status.has_value(); });
+        return status.value_or(0);
+    }
+
+    static std::string report(const std::string& name = "", const std::string& value = "")
+    {
+        std::vector<std::pair<std::string, std::string>> fields { { "service", R"("desk")" }, { "address", R"("127.0.0.1:9000")" }, { "zone", R"("agadir")" },
+            { "slots", "3" }, { "state", R"("ready")" }, { "sequence", "4" }, { "born", "1772886145750" } };
+        std::string text = "{";
+        for (const auto& [field, usual] : fields)
+            text += "\"" + field + "\":" + (field == name ? value : usual) + ",";
+        return text + R"("extra":null})";
+    }
+
+    const Decision::NodeState& state() { return m_daemon->node().state(); }
+
+    std::string logLevel { "error" };
+    // What the process logged and traced.
+    std::string output;
+    Transport::EventLoop m_loop;
+    Transport::HttpClient m_client { m_loop };
+    StandIns::StandInRevisionStore m_store { m_loop, { "127.0.0.1", 0 } };
+    std::optional<Daemon> m_daemon;
+};
+
+}
--- a/Tests/fulmard/TestRequestReader.cpp
+++ b/Tests/fulmard/TestRequestReader.cpp
@@ -40,6 +40,15 @@
     EXPECT_NE(fingerprintOfRead(first), fingerprintOfRead(requestFrom("10.0.0.1")));
 }
 
+// A caller with a key could otherwise send a request that crashes backend servers under a new account each time.
+TEST(RequestIdentity, TheNamedAccountDoesNotCountBesideAKey)
+{
+    auto first = requestFrom("10.0.0.1");
+    auto second = first;
+    second.headers = { { CallerHeader::account, "clerk-2" } };
+    EXPECT_EQ(RequestReader(1, {}).read(first, true).fingerprint, RequestReader(1, {}).read(second, true).fingerprint);
+}
+
 TEST(RequestIdentity, TellsDifferentRequestsApart)
 {
     auto request = requestFrom("10.0.0.1");
--- /dev/null
+++ b/Tests/fulmard/TestTenants.cpp
@@ -0,0 +1,109 @@
+#include "DaemonTest.h"
+
+#include <LibTransport/HttpServer.h>
+
+using namespace Testing;
+
+namespace {
+
+constexpr auto secret = "k-north-0815";
+constexpr auto configurationStart = R"({"version":)";
+constexpr auto configurationEnd = R"(,"routes":[{"name":"r","host":"office.example","prefix":"/r/","routeKind":"unsafe","timeoutMs":2000,"service":"desk","maxAttempts":2},
+{"name":"p","host":"office.example","prefix":"/p/","routeKind":"safe","timeoutMs":2000,"service":"desk","maxAttempts":2,"public":true}],
+"services":[{"name":"desk","healthPath":"/health","maxConnections":9}])";
+
+// A whole fulmard before a backend server that keeps what it gets.
+class TenantsTest : public DaemonTest {
+protected:
+    TenantsTest()
+    {
+        logLevel = "trace";
+        Transport::HttpServerOptions options;
+        options.listen = { "127.0.0.1", 0 };
+        options.onRequest = [this](Transport::ServerRequestId id, const Transport::HttpRequest& request) {
+            if (request.target != "/health")
+                received.push_back(request);
+            auto requestId = std::string(Transport::findHeader(request.headers, "attempt-id").value_or(""));
+            m_backend->respond(id, { 200, { { "attempt-id", requestId }, { "server-seal", "1" } }, "done" });
+        };
+        m_backend.emplace(m_loop, std::move(options));
+    }
+
+    void startWith(const std::string& tenants)
+    {
+        start(configurationStart + std::string("7") + configurationEnd + tenants + "}");
+        ASSERT_TRUE(runUntil([&] { return state().routes().version() == Revision(7); }));
+        ASSERT_EQ(checkIn("i-1", report("address", "\"" + m_backend->endpoint().toString() + "\"")), 204);
+    }
+
+    Transport::HttpResponse send(const std::string& target, Transport::HeaderList headers)
+    {
+        Transport::ClientRequest request;
+        request.to = m_daemon->callersEndpoint();
+        headers.push_back({ "attempt-id", "a-" + std::to_string(++m_lastRequest) });
+        request.request = { "POST", "office.example", target, std::move(headers), "body" };
+        request.deadline = 5s;
+        std::optional<Transport::HttpResponse> response;
+        m_client.send(std::move(request), [&](const Transport::ClientResult& result) { response = result.response; });
+        runUntil([&] { return response.has_value(); });
+        return response.value_or(Transport::HttpResponse { 0, {}, "" });
+    }
+
+    std::optional<std::string> lastReceived(std::string_view header) const
+    {
+        auto value = Transport::findHeader(received.back().headers, header);
+        return value ? std::optional(std::string(*value)) : std::nullopt;
+    }
+
+    std::vector<Transport::HttpRequest> received;
+
+private:
+    std::optional<Transport::HttpServer> m_backend;
+    uint64_t m_lastRequest { 0 };
+};
+
+}
+
+// A key that leaves the process, or a name that a caller chose itself, lets others act for the tenant.
+TEST_F(TenantsTest, ABackendServerLearnsTheTenantAndNobodyTheKey)
+{
+    startWith(R"(,"tenants":[{"name":"north","apiKeys":[")" + std::string(secret) + R"("]}])");
+    EXPECT_EQ(send("/r/x", { { "authorization", "Bearer " + std::string(secret) }, { "tenant", "south" } }).status, 200);
+    ASSERT_EQ(received.size(), 1u);
+    EXPECT_EQ(lastReceived("tenant"), "north");
+    EXPECT_EQ(lastReceived("authorization"), std::nullopt);
+
+    EXPECT_EQ(send("/p/x", { { "authorization", "Bearer " + std::string(secret) }, { "tenant", "south" } }).status, 200);
+    ASSERT_EQ(received.size(), 2u);
+    EXPECT_EQ(lastReceived("tenant"), std::nullopt);
+    EXPECT_EQ(lastReceived("authorization"), std::nullopt);
+
+    auto refused = send("/r/x", { { "authorization", "Bearer " + std::string(secret) + "x" } });
+    EXPECT_EQ(refused.status, 401);
+    EXPECT_EQ(Transport::findHeader(refused.headers, "www-authenticate"), "Bearer");
+    EXPECT_EQ(refused.body.find(secret), std::string::npos);
+    EXPECT_EQ(send("/r/x", {}).status, 401);
+    EXPECT_EQ(received.size(), 2u);
+    EXPECT_NE(output.find("unknown-key"), std::string::npos);
+    EXPECT_EQ(output.find(secret), std::string::npos);
+}
+
+// Deployments without tenants use these headers for purposes of their own.
+TEST_F(TenantsTest, WithoutTenantsTheHeadersPassUnchanged)
+{
+    startWith("");
+    EXPECT_EQ(send("/r/x", { { "authorization", "Basic eA==" }, { "tenant", "south" } }).status, 200);
+    ASSERT_EQ(received.size(), 1u);
+    EXPECT_EQ(lastReceived("authorization"), "Basic eA==");
+    EXPECT_EQ(lastReceived("tenant"), "south");
+}
+
+TEST_F(TenantsTest, AnUnusableRouteIsRefusedAsNotRun)
+{
+    start(R"({"version":7,"routes":[{"name":"r","host":"office.example","prefix":"/r/","routeKind":"new"}],"services":[]})");
+    ASSERT_TRUE(runUntil([&] { return state().routes().version() == Revision(7); }));
+    auto refused = send("/r/x", {});
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(Transport::findHeader(refused.headers, "retry-after").has_value());
+    EXPECT_EQ(send("/other/x", {}).status, 404);
+}
