--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -59,6 +59,12 @@
     Duration firstSentAgo { 0 };
     // The start incarnation of the process that the attempt was first addressed to, the same in each send of the attempt.
     std::optional<Incarnation> receiverStart;
+    // The request's parent, account and fingerprint as decided, which differ from what the caller said if there are tenants.
+    std::optional<RequestId> parent;
+    AccountId account;
+    Fingerprint fingerprint;
+    // Whether the account is that of a tenant, whose name the backend server is told.
+    bool isFromTenant { false };
 };
 
 // Cancels an attempt at the sidecar. No report of the attempt is expected afterwards.
