LibDecision: Send tenants along with the routes

A process that took a table from another one had no tenants in it: splitIntoParts() copied services and limits into the first part, but not the tenants, which the message already carries. Such a process would have asked for no API keys. The first part now holds them, as its comment says.

--- a/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
@@ -41,6 +41,7 @@
         } while (rest != table.routes.end());
         parts.front().services = table.services;
         parts.front().limits = table.limits;
+        parts.front().tenants = table.tenants;
         return parts;
     }
 
