platform: Confirm which route table is the newest without reading it

Strict revocation needs a linearizable read of the configuration about once a second and zone. Reading it in full would cost its whole length each time, which at 75,000 accounts is megabytes.

At a Consul store it is one read in consistent mode.

The tests' store qualifies its indexes by era, as the real client does.

--- a/Libraries/LibDecision/PlatformOperation.h
+++ b/Libraries/LibDecision/PlatformOperation.h
@@ -56,6 +56,13 @@
     Duration wait { std::chrono::seconds(25) };
 };
 
+// Returns the route table if it changed after the index. Unlike WatchRoutes it never waits, and its reply is linearizable:
+// it covers every table that the store confirmed before the operation was sent.
+struct ConfirmRoutes {
+    // Index of an earlier reply to this operation; 0 returns the current table.
+    uint64_t index { 0 };
+};
+
 // Writes the value if the key's version is the expected one.
 struct CompareAndSwap {
     std::string key;
@@ -91,7 +98,7 @@
     PlatformLease lease;
 };
 
-using PlatformOperation = std::variant<ReadPrefix, WatchPrefix, WatchRoutes, CompareAndSwap, GrantLease, RenewLease, RevokeLease, AcquireKey, ReleaseKey>;
+using PlatformOperation = std::variant<ReadPrefix, WatchPrefix, WatchRoutes, ConfirmRoutes, CompareAndSwap, GrantLease, RenewLease, RevokeLease, AcquireKey, ReleaseKey>;
 
 enum class PlatformStatus {
     Done,
@@ -105,12 +112,12 @@
     PlatformTag tag;
     PlatformStatus status { PlatformStatus::NoAnswer };
     std::vector<KeyValue> values;
-    // Index to pass to the next WatchPrefix or WatchRoutes.
+    // Index to pass to the next WatchPrefix, WatchRoutes or ConfirmRoutes.
     uint64_t index { 0 };
     PlatformLease lease;
     // Rises each time that the store comes back from a copy and has lost what was written since; 0 if it doesn't tell.
     uint64_t era { 0 };
-    // Result of WatchRoutes; null if the table hasn't changed or none was published.
+    // Result of WatchRoutes or ConfirmRoutes; null if the table hasn't changed or none was published.
     std::shared_ptr<const RouteTable> routes;
     // Why there is no usable answer, or why the published route table is invalid; empty if there is no problem.
     std::string problem;
--- a/Libraries/LibPlatform/ConsulReply.cpp
+++ b/Libraries/LibPlatform/ConsulReply.cpp
@@ -128,7 +128,7 @@
 {
     if (std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchPrefix>(operation))
         return readListingReply(response);
-    if (std::holds_alternative<WatchRoutes>(operation))
+    if (std::holds_alternative<WatchRoutes>(operation) || std::holds_alternative<ConfirmRoutes>(operation))
         return readRoutesReply(response);
     if (std::holds_alternative<GrantLease>(operation))
         return readGrantReply(response);
--- a/Libraries/LibPlatform/ConsulRequest.cpp
+++ b/Libraries/LibPlatform/ConsulRequest.cpp
@@ -37,6 +37,8 @@
     return request("GET", keyTarget(std::string(routesKey), "recurse&index=" + std::to_string(watch.index) + "&wait=" + milliseconds(watch.wait)));
 }
 
+static HttpRequest format(const ConfirmRoutes&) { return request("GET", keyTarget(std::string(routesKey), "recurse&consistent")); }
+
 static HttpRequest format(const CompareAndSwap& swap)
 {
     return request("PUT", keyTarget(swap.key, "cas=" + std::to_string(swap.expected.value())), swap.value);
@@ -76,7 +78,8 @@
 
 bool isRead(const PlatformOperation& operation)
 {
-    return std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchPrefix>(operation) || std::holds_alternative<WatchRoutes>(operation);
+    return std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchPrefix>(operation) || std::holds_alternative<WatchRoutes>(operation)
+        || std::holds_alternative<ConfirmRoutes>(operation);
 }
 
 Duration expectedWait(const PlatformOperation& operation)
--- a/Tests/LibDecision/Support/FakePlatform.cpp
+++ b/Tests/LibDecision/Support/FakePlatform.cpp
@@ -26,10 +26,11 @@
     }
     for (const auto& name : ended)
         endLease(name);
-    bool isRead = std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchRoutes>(operation) || std::holds_alternative<WatchPrefix>(operation);
+    bool isRead = std::holds_alternative<ReadPrefix>(operation) || std::holds_alternative<WatchRoutes>(operation) || std::holds_alternative<WatchPrefix>(operation)
+        || std::holds_alternative<ConfirmRoutes>(operation);
     ++(isRead ? m_reads : m_writes);
     auto reply = std::visit([this](const auto& typed) { return perform(typed); }, operation);
-    reply.index = m_state.lastVersion;
+    reply.index = (m_era << eraShift) | m_state.lastVersion;
     reply.era = m_era;
     return reply;
 }
@@ -37,11 +38,13 @@
 bool FakePlatform::mustWait(const PlatformOperation& operation) const
 {
     if (const auto* routes = std::get_if<WatchRoutes>(&operation))
-        return routes->index != 0 && routes->index >= m_state.routesVersion && routes->index <= m_state.lastVersion;
+        return versionAt(routes->index) != 0 && versionAt(routes->index) >= m_state.routesVersion;
     const auto* watch = std::get_if<WatchPrefix>(&operation);
-    return watch && watch->index != 0 && watch->index >= lastChangeOf(watch->prefix) && watch->index <= m_state.lastVersion;
+    return watch && versionAt(watch->index) != 0 && versionAt(watch->index) >= lastChangeOf(watch->prefix);
 }
 
+uint64_t FakePlatform::versionAt(uint64_t index) const { return index >> eraShift == m_era ? index & ((uint64_t(1) << eraShift) - 1) : 0; }
+
 uint64_t FakePlatform::lastChangeOf(const std::string& prefix) const
 {
     uint64_t latest = 0;
@@ -69,7 +72,8 @@
 PlatformReply FakePlatform::perform(const WatchRoutes& watch)
 {
     auto reply = replyOf(true);
-    if (watch.index == 0 || watch.index < m_state.routesVersion)
+    auto version = versionAt(watch.index);
+    if (version == 0 || version < m_state.routesVersion)
         reply.routes = m_state.routes;
     return reply;
 }
--- a/Tests/LibDecision/Support/FakePlatform.h
+++ b/Tests/LibDecision/Support/FakePlatform.h
@@ -32,6 +32,8 @@
     uint64_t writes() const { return m_writes; }
 
 private:
+    static constexpr int eraShift = 44;
+
     struct Lease {
         Duration timeToLive { 0 };
         Instant endsAt;
@@ -46,6 +48,7 @@
 
     PlatformReply perform(const ReadPrefix&);
     PlatformReply perform(const WatchRoutes&);
+    PlatformReply perform(const ConfirmRoutes& read) { return perform(WatchRoutes { read.index }); }
     PlatformReply perform(const WatchPrefix& watch) { return perform(ReadPrefix { watch.prefix }); }
     PlatformReply perform(const CompareAndSwap&);
     PlatformReply perform(const GrantLease&);
@@ -53,6 +56,8 @@
     PlatformReply perform(const RevokeLease&);
     PlatformReply perform(const AcquireKey&);
     PlatformReply perform(const ReleaseKey&);
+    // The version that an index stands for; 0 if it is of an earlier era.
+    uint64_t versionAt(uint64_t index) const;
     uint64_t lastChangeOf(const std::string& prefix) const;
     void endLease(const PlatformLease&);
     void write(const std::string& key, const std::string& value);
--- a/Tests/PlatformAdapter/TestRevisionStore.cpp
+++ b/Tests/PlatformAdapter/TestRevisionStore.cpp
@@ -196,3 +196,40 @@
     EXPECT_EQ(call(ReadPrefix { "seeds/" }).status, PlatformStatus::NoAnswer);
     EXPECT_EQ(call(ReadPrefix { "seeds/" }).values.size(), 1u);
 }
+
+// Guards against a proof from an answer that doesn't cover all that was confirmed before the read.
+TEST_F(RevisionStoreTest, AConfirmationBringsEachChangeOnceAndNothingOtherwise)
+{
+    m_standIn.put(configurationKey, configurationOf(7));
+    auto first = call(ConfirmRoutes { 0 });
+    ASSERT_TRUE(first.routes);
+    EXPECT_EQ(first.routes->version, Model::Revision(7));
+    m_standIn.put("other", "value");
+    auto unchanged = call(ConfirmRoutes { first.index });
+    EXPECT_EQ(unchanged.status, PlatformStatus::Done);
+    EXPECT_FALSE(unchanged.routes);
+    EXPECT_GT(unchanged.index, first.index);
+    EXPECT_EQ(call(ConfirmRoutes { unchanged.index }).index, unchanged.index);
+    m_standIn.put(configurationKey, configurationOf(9));
+    auto changed = call(ConfirmRoutes { unchanged.index });
+    ASSERT_TRUE(changed.routes);
+    EXPECT_EQ(changed.routes->version, Model::Revision(9));
+    m_standIn.dropHistory();
+    m_standIn.put("other", "value");
+    EXPECT_EQ(call(ConfirmRoutes { first.index }).routes->version, Model::Revision(9));
+    m_standIn.refuse(503);
+    EXPECT_EQ(call(ConfirmRoutes { changed.index }).status, PlatformStatus::NoAnswer);
+}
+
+TEST_F(RevisionStoreTest, AConfirmationFromBeforeARestoreReadsTheConfigurationAnew)
+{
+    m_standIn.put(configurationKey, configurationOf(7));
+    m_standIn.takeCopy();
+    m_standIn.put(configurationKey, configurationOf(8));
+    auto first = call(ConfirmRoutes { 0 });
+    m_standIn.restoreCopy();
+    auto second = call(ConfirmRoutes { first.index });
+    ASSERT_TRUE(second.routes);
+    EXPECT_EQ(second.routes->version, Model::Revision(7));
+    EXPECT_EQ(second.era, first.era + 1);
+}
