LibDecision: Refuse keyed requests without proof that the route table is the newest

A process that was cut off, suspended or restarted went on accepting requests under the table that it had, so a revoked key stayed valid there for as long as the isolation lasted.

With strict revocation and tenants, a process now accepts a request with a key only while it has a proof, younger than the bound less 2 %, that no table newer than a version that it has was confirmed. The watchers of a zone get proofs from the store by linearizable reads; all others get them by request and response, where the requester's proof is the instant at which it sent the request minus the age reported. Neither depends on the time in transit. All instants are of the boot clock: the driver tells the core of suspended time before the input that follows. After a rise of the store's era, reads prove nothing for the bound or until a higher version is read.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -297,6 +297,23 @@
     archive.field("table", value.table);
 }
 
+template <typename Archive>
+void describe(Archive& archive, ConfigurationProofRequest& value)
+{
+    archive.field("sequence", value.sequence);
+    archive.field("requesterStart", value.requesterStart);
+}
+
+template <typename Archive>
+void describe(Archive& archive, ConfigurationProofReply& value)
+{
+    archive.field("sequence", value.sequence);
+    archive.field("requesterStart", value.requesterStart);
+    archive.field("version", value.version);
+    archive.optionalField("age", value.age);
+    archive.optionalField("era", value.era);
+}
+
 template <typename Archive>
 void describe(Archive& archive, BackendCondition& value)
 {
@@ -339,5 +356,7 @@
 inline const char* kindOf(const ClaimHandover&) { return "claim-handover"; }
 inline const char* kindOf(const RouteTableRequest&) { return "route-table-request"; }
 inline const char* kindOf(const RouteTablePart&) { return "route-table-part"; }
+inline const char* kindOf(const ConfigurationProofRequest&) { return "configuration-proof-request"; }
+inline const char* kindOf(const ConfigurationProofReply&) { return "configuration-proof-reply"; }
 
 }
--- a/Libraries/LibDecision/Calls/AttemptVerdict.cpp
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.cpp
@@ -83,6 +83,7 @@
     switch (reason) {
     case Reason::NoBackend:
     case Reason::NotConfigured:
+    case Reason::ConfigurationUnproven:
     case Reason::QueueFull:
     case Reason::FairShareExceeded:
     case Reason::BackendDraining:
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -137,8 +137,14 @@
     Profile defaults;
 };
 
+// The time that the machine has spent suspended since its start has grown. Instants don't count it. The driver compares
+// the clocks before each input and passes this one first, so that no input is judged as if that time hadn't passed.
+struct SuspensionObserved {
+    Duration suspendedTime { 0 };
+};
+
 using Input = std::variant<MessageReceived, TimerFired, SendFailed, CallArrived, CallerDisconnected, AttemptFinished, SidecarCallArrived,
     SidecarCallCancelled, RunFinished, ProbeFinished, ConnectionRefused, BackendAnnounced, BackendWithdrawn, PlatformReplied, LeaveRequested, DrainRequested,
-    DefaultsChanged>;
+    DefaultsChanged, SuspensionObserved>;
 
 }
--- a/Libraries/LibDecision/Membership/RecordSize.cpp
+++ b/Libraries/LibDecision/Membership/RecordSize.cpp
@@ -90,6 +90,9 @@
 
     size_t bodySize(const RouteTableRequest&) { return numberBytes; }
 
+    size_t bodySize(const ConfigurationProofRequest&) { return 2 * numberBytes; }
+    size_t bodySize(const ConfigurationProofReply&) { return 5 * numberBytes; }
+
     size_t bodySize(const Route& route)
     {
         auto targets = std::transform_reduce(route.targets.begin(), route.targets.end(), size_t { 0 }, std::plus {}, [](const RouteTarget& target) { return length(target.service) + recordOverheadBytes; });
--- a/Libraries/LibDecision/Message.h
+++ b/Libraries/LibDecision/Message.h
@@ -316,8 +316,30 @@
     bool operator==(const RouteTablePart&) const = default;
 };
 
+// Asks for the latest proof that the receiver knows of which route table was the newest one.
+struct ConfigurationProofRequest {
+    uint64_t sequence { 0 };
+    // Incarnation at the sender's start. A restarted process counts its sequences from 1 again.
+    Incarnation requesterStart;
+
+    bool operator==(const ConfigurationProofRequest&) const = default;
+};
+
+struct ConfigurationProofReply {
+    uint64_t sequence { 0 };
+    Incarnation requesterStart;
+    // No table newer than this version had been confirmed when the proof was made.
+    Revision version;
+    // Age of the proof when the reply was made, including time that the sender spent suspended; empty if it has no proof.
+    std::optional<Duration> age;
+    // The store's era that the sender relies on; 0 if none.
+    uint64_t era { 0 };
+
+    bool operator==(const ConfigurationProofReply&) const = default;
+};
+
 using MessageBody = std::variant<Ping, Ack, IndirectPing, IndirectAck, Gossip, Join, SyncDigest, SyncRecords,
-    ClaimRequest, ClaimReply, ClaimOutcome, ClaimHandover, RouteTableRequest, RouteTablePart>;
+    ClaimRequest, ClaimReply, ClaimOutcome, ClaimHandover, RouteTableRequest, RouteTablePart, ConfigurationProofRequest, ConfigurationProofReply>;
 
 // A message and its sender. The driver authenticates the sender's incarnation before it passes the message to the core.
 struct Message {
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -23,6 +23,7 @@
     , m_membership({ options.self, options.seeds })
     , m_configuration(options.routing, options.self, m_membership, m_profiles)
     , m_routes(options.routing, options.self, m_membership, m_profiles)
+    , m_configurationProof(options.tenants, options.self, m_membership, m_routes)
     , m_localBackends(options.self, m_profiles)
     , m_health(options.self, m_registry, m_profiles)
     , m_router(m_membership, m_registry, m_health, m_profiles)
@@ -56,7 +57,7 @@
 std::optional<Instant> NodeState::nextTimer() const
 {
     std::optional<Instant> next;
-    for (auto candidate : { m_membership.nextTimer(), m_configuration.nextTimer(), m_routes.nextTimer(), m_localBackends.nextTimer(), m_health.nextTimer(),
+    for (auto candidate : { m_membership.nextTimer(), m_configuration.nextTimer(), m_routes.nextTimer(), m_configurationProof.nextTimer(), m_localBackends.nextTimer(), m_health.nextTimer(),
              m_orphanSweep.nextTimer(), m_crashGuard.nextTimer(), m_claims.nextTimer(), m_admission.nextTimer(), m_calls.nextTimer() })
         next = earliest(next, candidate);
     return earliest(next, earliest(m_leaveNoticeEndsAt, m_leaveCheckAt));
@@ -64,6 +65,7 @@
 
 EffectList NodeState::finishTurn(Turn& turn)
 {
+    m_configurationProof.update(turn);
     while (true) {
         auto decisions = m_claims.takeDecisions();
         for (const auto& decision : decisions)
@@ -96,6 +98,9 @@
         std::visit([&](const auto& record) { applyRecord(turn, record); }, rumor);
     m_claims.receive(turn, received.message);
     m_routes.receive(turn, received.message);
+    m_configurationProof.receive(turn, received.message);
+    if (const auto* reply = std::get_if<ConfigurationProofReply>(&received.message.body); reply && m_configurationProof.isActive())
+        m_routes.requestIfNewer(turn, received.message.from, received.message.fromControl, reply->version);
     const auto* digest = std::get_if<SyncDigest>(&received.message.body);
     if (digest && digest->wantsAnswer)
         tellCrashes(turn, received.message);
@@ -120,6 +125,7 @@
     fireIfDue(m_membership);
     fireIfDue(m_configuration);
     fireIfDue(m_routes);
+    fireIfDue(m_configurationProof);
     fireIfDue(m_localBackends);
     fireIfDue(m_health);
     fireIfDue(m_crashGuard);
@@ -145,6 +151,7 @@
 void NodeState::receive(Turn& turn, const SendFailed& failed) { m_membership.sendFailed(turn, failed.to); }
 void NodeState::receive(Turn& turn, const CallArrived& arrived)
 {
+    m_configurationProof.observeSuspension(arrived.suspendedTime);
     if (!m_routes.isUsed()) {
         m_calls.arrive(turn, arrived);
         return;
@@ -163,6 +170,8 @@
     const auto* route = m_routes.find(arrived.authority, arrived.request.path);
     if (!route)
         return Reason::NoRoute;
+    if (auto reason = refusalForKey(arrived, turn.now()))
+        return reason;
     std::vector<double> weights;
     std::ranges::transform(route->targets, std::back_inserter(weights), &RouteTarget::weight);
     auto target = std::discrete_distribution<size_t>(weights.begin(), weights.end())(turn.random());
@@ -173,6 +182,11 @@
     return std::nullopt;
 }
 
+std::optional<Reason> NodeState::refusalForKey(const CallArrived& arrived, Instant now) const
+{
+    return arrived.keyDigest.empty() ? std::nullopt : m_configurationProof.refusal(now);
+}
+
 uint32_t NodeState::priorityOf(const Route& route, const RequestInfo& request) const
 {
     // A running request holds a slot while it waits for the calls that it makes, and its work is lost if they fail. So
@@ -239,8 +253,13 @@
 void NodeState::receive(Turn& turn, const PlatformReplied& replied)
 {
     m_configuration.noteReply(turn, replied.reply);
+    m_configurationProof.noteEra(turn.now(), replied.reply.era);
     if (m_routes.handleReply(turn, replied.reply))
         return;
+    if (m_configurationProof.handleReply(turn, replied.reply)) {
+        m_routes.apply(turn, replied.reply.routes, "platform");
+        return;
+    }
     if (!m_configuration.handleReply(turn, replied.reply)) {
         m_claims.handleReply(turn, replied.reply);
         return;
@@ -279,6 +298,8 @@
         std::ranges::for_each(m_routes.table()->services, [this](const ServiceTerms& terms) { m_profiles.putServiceTerms(terms); });
 }
 
+void NodeState::receive(Turn&, const SuspensionObserved& observed) { m_configurationProof.observeSuspension(observed.suspendedTime); }
+
 void NodeState::applyRecord(Turn& turn, const MemberRecord& record) { m_membership.apply(turn, record); }
 
 void NodeState::applyRecord(Turn& turn, const BackendRecord& record)
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -4,6 +4,7 @@
 #include <LibDecision/Admission/SidecarAdmission.h>
 #include <LibDecision/Calls/CallTable.h>
 #include <LibDecision/Claims/Claims.h>
+#include <LibDecision/Configuration/ConfigurationProof.h>
 #include <LibDecision/Configuration/ProfileConfiguration.h>
 #include <LibDecision/Configuration/RouteConfiguration.h>
 #include <LibDecision/Health/Health.h>
@@ -40,6 +41,7 @@
     const ProfileRegistry& profiles() const { return m_profiles; }
     const ProfileConfiguration& configuration() const { return m_configuration; }
     const RouteConfiguration& routes() const { return m_routes; }
+    const ConfigurationProof& configurationProof() const { return m_configurationProof; }
     const BackendRegistry& registry() const { return m_registry; }
     const LocalBackends& localBackends() const { return m_localBackends; }
     const Health& health() const { return m_health; }
@@ -54,6 +56,8 @@
     void receive(Turn&, const CallArrived&);
     // Sets the request's service and terms from the route table. Returns the reason for refusal if no route applies.
     std::optional<Reason> applyRoute(Turn&, CallArrived&) const;
+    // Returns why a request with an API key can't be accepted now, if it can't.
+    std::optional<Reason> refusalForKey(const CallArrived&, Instant now) const;
     // Returns the priority of a request of this route among those that wait for a slot; 0 is the most urgent.
     uint32_t priorityOf(const Route&, const RequestInfo&) const;
     void receive(Turn&, const CallerDisconnected&);
@@ -69,6 +73,7 @@
     void receive(Turn&, const LeaveRequested&);
     void receive(Turn&, const DrainRequested&);
     void receive(Turn&, const DefaultsChanged&);
+    void receive(Turn&, const SuspensionObserved&);
 
     // Apply a record that was received in a rumor or produced by this process.
     void applyRecord(Turn&, const MemberRecord&);
@@ -99,6 +104,7 @@
     Membership m_membership;
     ProfileConfiguration m_configuration;
     RouteConfiguration m_routes;
+    ConfigurationProof m_configurationProof;
     BackendRegistry m_registry;
     LocalBackends m_localBackends;
     Health m_health;
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -40,6 +40,7 @@
     RoutesVersion,
     RoutesNewestVersionHeard,
     RoutesWatchSeconds,
+    ConfigurationProofAge,
 };
 
 // Totals that other parts count themselves; they are set to their current value.
@@ -84,6 +85,7 @@
         EnumName { Telemetry::Gauge::RoutesVersion, "fulmar_routes_version" },
         EnumName { Telemetry::Gauge::RoutesNewestVersionHeard, "fulmar_routes_newest_version_heard" },
         EnumName { Telemetry::Gauge::RoutesWatchSeconds, "fulmar_routes_watch_seconds" },
+        EnumName { Telemetry::Gauge::ConfigurationProofAge, "fulmar_configuration_proof_age_seconds" },
     };
 };
 
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -321,6 +321,7 @@
     metrics.set(Gauge::RoutesVersion, static_cast<double>(state.routes().version().value()));
     metrics.set(Gauge::RoutesNewestVersionHeard, static_cast<double>(state.routes().newestHeard().value()));
     metrics.set(Gauge::RoutesWatchSeconds, std::chrono::duration<double>(state.routes().watchAge(m_loop.now())).count());
+    metrics.set(Gauge::ConfigurationProofAge, proofAgeSeconds());
 
     const auto& channel = m_channel.counters();
     metrics.set(Total::ControlMessagesSent, channel.messagesSent);
@@ -338,6 +339,16 @@
     return metrics.prometheusText();
 }
 
+double Daemon::proofAgeSeconds() const
+{
+    constexpr double noProof = -1;
+    const auto& proof = node().state().configurationProof();
+    if (!proof.isActive())
+        return 0;
+    auto age = proof.age(m_loop.now());
+    return age ? std::chrono::duration<double>(*age).count() : noProof;
+}
+
 void Daemon::respondControl(Transport::ServerRequestId id, uint16_t status, const std::string& text)
 {
     m_controlServer.respond(id, plainResponse(status, text));
--- a/Services/fulmard/Daemon.h
+++ b/Services/fulmard/Daemon.h
@@ -88,6 +88,8 @@
     void respondRun(Transport::ServerRequestId, SidecarReply);
     // Sets the gauges and totals that are known elsewhere, and writes all metrics.
     std::string metricsText();
+    // Returns 0 if no proof is needed, and -1 if there is none.
+    double proofAgeSeconds() const;
     void respondControl(Transport::ServerRequestId, uint16_t status, const std::string& text);
 
     void carryOut(const Decision::Effect&);
--- a/Services/fulmard/NodeDriver.cpp
+++ b/Services/fulmard/NodeDriver.cpp
@@ -1,11 +1,14 @@
 #include <Services/fulmard/NodeDriver.h>
 
+#include <LibTransport/SuspendedTime.h>
+
 namespace Fulmard {
 
 NodeDriver::NodeDriver(Transport::EventLoop& loop, Decision::NodeOptions options, EffectHandler handler)
     : m_loop(loop)
-    , m_node(std::move(options))
+    , m_node(options)
     , m_handler(std::move(handler))
+    , m_observesSuspension(options.tenants.hasStrictRevocation)
 {
 }
 
@@ -36,12 +39,26 @@
     while (!m_inputs.empty()) {
         auto input = std::move(m_inputs.front());
         m_inputs.pop_front();
+        observeSuspension();
+        if (auto* arrived = std::get_if<Decision::CallArrived>(&input))
+            arrived->suspendedTime = m_suspendedTime;
         carryOut(m_node.handle(m_loop.now(), input));
     }
     m_isDraining = false;
     setTimer();
 }
 
+void NodeDriver::observeSuspension()
+{
+    if (!m_observesSuspension)
+        return;
+    auto suspendedTime = Transport::suspendedTime();
+    if (suspendedTime <= m_suspendedTime)
+        return;
+    m_suspendedTime = suspendedTime;
+    carryOut(m_node.handle(m_loop.now(), Decision::SuspensionObserved { suspendedTime }));
+}
+
 void NodeDriver::carryOut(const Decision::EffectList& effects)
 {
     for (const auto& effect : effects)
--- a/Services/fulmard/NodeDriver.h
+++ b/Services/fulmard/NodeDriver.h
@@ -28,6 +28,8 @@
 
 private:
     void drain();
+    // Tells the core that the machine was suspended, if it was since the last input.
+    void observeSuspension();
     void carryOut(const Decision::EffectList&);
     void setTimer();
 
@@ -36,6 +38,9 @@
     EffectHandler m_handler;
     std::deque<Decision::Input> m_inputs;
     bool m_isDraining { false };
+    // Whether the core has to know of suspensions.
+    bool m_observesSuspension { false };
+    Model::Duration m_suspendedTime { 0 };
     std::optional<Transport::TimerId> m_timer;
     std::optional<Model::Instant> m_timerAt;
 };
--- a/Services/fulmard/Observability.cpp
+++ b/Services/fulmard/Observability.cpp
@@ -34,6 +34,7 @@
         KindLevel { DecisionKind::ProfileRejected, LogLevel::Error },
         KindLevel { DecisionKind::ProfileForked, LogLevel::Error },
         KindLevel { DecisionKind::RoutesWatchLost, LogLevel::Warn },
+        KindLevel { DecisionKind::ConfigurationProofLost, LogLevel::Warn },
         KindLevel { DecisionKind::PlatformLost, LogLevel::Warn },
         KindLevel { DecisionKind::StoreRestored, LogLevel::Warn },
     };
--- a/Tests/LibControl/MessageGenerators.h
+++ b/Tests/LibControl/MessageGenerators.h
@@ -84,7 +84,7 @@
 inline MessageBody anyBody()
 {
     auto sequence = *rc::gen::arbitrary<uint64_t>();
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 14)) {
     case 0:
         return Ping { sequence, anyRumors() };
     case 1:
@@ -107,6 +107,12 @@
         return ClaimReply { sequence, *anyNumber<Incarnation>(), anyEnumValue<ClaimVerdict>(), Duration(7), *anyNumber<ClaimEpoch>(), *anyName<InstanceId>() };
     case 10:
         return ClaimOutcome { sequence, *anyName<ServiceName>(), 2, *anyName<AccountId>(), *anyName<IdempotencyKey>(), *anyName<RequestId>(), anyEnumValue<Outcome>() };
+    case 11:
+        return ConfigurationProofRequest { sequence, *anyNumber<Incarnation>() };
+    case 12: {
+        auto age = *rc::gen::arbitrary<bool>() ? std::optional(Duration(*rc::gen::inRange(0, 10'000'000))) : std::nullopt;
+        return ConfigurationProofReply { sequence, *anyNumber<Incarnation>(), *anyNumber<Revision>(), age, *rc::gen::arbitrary<uint64_t>() };
+    }
     default:
         return ClaimHandover { *anyName<ServiceName>(), 1, *anyNumber<ClaimEpoch>(), 4, *rc::gen::arbitrary<bool>(), { anyClaimEntry() } };
     }
--- a/Tests/LibDecision/Membership/FakeFleet.h
+++ b/Tests/LibDecision/Membership/FakeFleet.h
@@ -67,6 +67,8 @@
         slot.record = record;
         slot.process = std::move(process);
         slot.isPaused = false;
+        slot.suspendedSince.reset();
+        slot.suspendedTime = Duration(0);
         slot.backlog.clear();
         applyEffects(index, slot.process->start(m_now));
         return index;
@@ -81,10 +83,21 @@
     // Until resume(), inputs are queued and timers are delayed.
     void pause(size_t index) { m_slots[index].isPaused = true; }
 
+    // As pause(), but the process's steady clock stands still until resume(), as on a suspended machine.
+    void suspend(size_t index)
+    {
+        pause(index);
+        m_slots[index].suspendedSince = m_now;
+    }
+
     void resume(size_t index)
     {
         auto& slot = m_slots[index];
         slot.isPaused = false;
+        if (auto since = std::exchange(slot.suspendedSince, {})) {
+            slot.suspendedTime += m_now - *since;
+            deliver(index, SuspensionObserved { slot.suspendedTime });
+        }
         fireTimer(index);
         for (const auto& input : std::exchange(slot.backlog, {}))
             deliver(index, input);
@@ -99,9 +112,13 @@
             slot.backlog.push_back(input);
             return;
         }
-        applyEffects(index, slot.process->handle(m_now, input));
+        applyEffects(index, slot.process->handle(localNow(index), input));
     }
 
+    // The instant on the process's steady clock.
+    Instant localNow(size_t index) const { return m_now - m_slots[index].suspendedTime; }
+    bool isPaused(size_t index) const { return m_slots[index].isPaused; }
+
     // Runs an action of the process that no input triggers, such as announcing a record of its own, and applies its
     // effects.
     template <typename Action>
@@ -161,6 +178,8 @@
         std::unique_ptr<Process> process;
         uint32_t generation { 0 };
         bool isPaused { false };
+        std::optional<Instant> suspendedSince;
+        Duration suspendedTime { 0 };
         std::vector<Input> backlog;
         std::optional<Instant> timer;
     };
@@ -205,7 +224,7 @@
         clearTimer(index);
         auto& slot = m_slots[index];
         if (slot.process && !slot.isPaused)
-            applyEffects(index, slot.process->handle(m_now, TimerFired {}));
+            applyEffects(index, slot.process->handle(localNow(index), TimerFired {}));
     }
 
     void clearTimer(size_t index)
@@ -231,6 +250,8 @@
             return;
         clearTimer(index);
         slot.timer = slot.process->nextTimer();
+        if (slot.timer)
+            *slot.timer += slot.suspendedTime;
         if (slot.timer)
             m_timers.insert({ *slot.timer, index });
     }
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -55,6 +55,7 @@
     options.leaveTimeout = leaveTimeout;
     options.routing = m_options.routing;
     options.defaultProfile = m_options.defaultProfile;
+    options.tenants = m_options.tenants;
     m_fleet.start(options.self, std::make_unique<Node>(options));
 }
 
@@ -115,7 +116,7 @@
     return info;
 }
 
-size_t NodeFleet::send(size_t node, RequestInfo info)
+size_t NodeFleet::send(size_t node, RequestInfo info, const std::string& keyDigest)
 {
     CallId call(++m_lastCall);
     m_requestByCall[{ node, call }] = m_requests.size();
@@ -127,7 +128,7 @@
     m_requestById[info.id] = m_requests.size();
     m_requests.push_back(request);
     auto authority = info.service.value() + ".example";
-    m_fleet.deliver(node, CallArrived { call, std::move(info), authority, {} });
+    m_fleet.deliver(node, CallArrived { call, std::move(info), authority, {}, keyDigest });
     return m_requests.size() - 1;
 }
 
@@ -193,6 +194,25 @@
     if (!m_fleet.isRunning(node))
         return;
     m_fleet.pause(node);
+    resumeLater(node, length);
+}
+
+void NodeFleet::suspend(size_t node, Duration length)
+{
+    if (!m_fleet.isRunning(node) || m_fleet.isPaused(node))
+        return;
+    m_fleet.suspend(node);
+    resumeLater(node, length);
+}
+
+void NodeFleet::publish(std::shared_ptr<const RouteTable> routes)
+{
+    m_platform.publishRoutes(std::move(routes));
+    answerWatches();
+}
+
+void NodeFleet::resumeLater(size_t node, Duration length)
+{
     m_fleet.callLater(length, [this, node, generation = m_generations[node]] {
         if (m_fleet.isRunning(node) && m_generations[node] == generation)
             m_fleet.resume(node);
@@ -581,8 +601,11 @@
         if (m_generations[node] == generation)
             m_fleet.deliverLater(node, delay, PlatformReplied { std::move(reply) });
     };
-    if (isPlatformDown)
+    if (isPlatformDown || nodesWithSilentStore.contains(node))
         return deliver(lost, platformTimeout);
+    if (nodesTurnedAway.contains(node))
+        return deliver(lost, platformDelay);
+    confirmations += std::holds_alternative<ConfirmRoutes>(call.operation) ? 1 : 0;
     if (m_platform.mustWait(call.operation) && m_fleet.now() < end) {
         m_pendingWatches.push_back({ node, generation, call, end });
         return;
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -113,6 +113,7 @@
     bool areBackendsTied { false };
     // How long a backend server that crashed is down.
     Duration backendDownTime { 2s };
+    TenantTerms tenants;
     // Whether processes know some others from the start, rather than only from the store.
     bool knowsSeeds { true };
 };
@@ -126,7 +127,7 @@
     // Adds a backend server whose sidecar is the node. Returns its index.
     size_t addBackend(const std::string& service, size_t node);
     // Sends a caller's request to the node. Returns its index in requests().
-    size_t send(size_t node, RequestInfo);
+    size_t send(size_t node, RequestInfo, const std::string& keyDigest = {});
     void callerGone(size_t request);
     // Makes a request with a unique id.
     RequestInfo makeRequest(const std::string& service, Method, std::optional<std::string> key = std::nullopt);
@@ -135,6 +136,10 @@
     void restart(size_t node);
     void leave(size_t node);
     void pause(size_t node, Duration);
+    // As pause(), but the node's steady clock stands still meanwhile.
+    void suspend(size_t node, Duration);
+    // Puts a route table in force at the store.
+    void publish(std::shared_ptr<const RouteTable>);
     void drain(size_t backend);
     // Delivers the backend server's withdrawal. It goes on announcing itself, as if those announcements were late.
     void withdraw(size_t backend);
@@ -161,6 +166,11 @@
     size_t abortedByLeaving() const { return m_abortedByLeaving; }
 
     bool isPlatformDown { false };
+    // Nodes that the store gives no answer, and those that it turns away at once.
+    std::set<size_t> nodesWithSilentStore;
+    std::set<size_t> nodesTurnedAway;
+    // Operations of each kind that reached the store.
+    size_t confirmations { 0 };
     // Probability, 0 to 1, that an operation takes effect at the platform but its reply is lost.
     double lostPlatformReplies { 0 };
 
@@ -227,6 +237,7 @@
     void countArrival(Run&, const ServiceName&);
     // Makes the call that the run needs. The run ends with the call's outcome.
     void makeCall(SidecarKey, const FakeBackend&);
+    void resumeLater(size_t node, Duration);
     void platformReply(size_t node, uint32_t generation, const CallPlatform&, Instant end);
     void answerWatches();
     void recordOutcome(size_t node, CallId, CallerOutcome, Reason, RequestId answerOf);
