--- a/Libraries/LibDecision/Calls/AttemptVerdict.cpp
+++ b/Libraries/LibDecision/Calls/AttemptVerdict.cpp
@@ -84,6 +84,7 @@
     case Reason::NoBackend:
     case Reason::NotConfigured:
     case Reason::RouteUnusable:
+    case Reason::ParentUnknown:
     case Reason::TenantUnusable:
     case Reason::ConfigurationUnproven:
     case Reason::QuotaUnavailable:
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -4,6 +4,7 @@
 #include <LibDecision/Admission/SidecarAdmission.h>
 #include <LibDecision/Calls/CallTable.h>
 #include <LibDecision/Claims/Claims.h>
+#include <LibDecision/Configuration/ConfigurationProof.h>
 #include <LibDecision/Configuration/ProfileConfiguration.h>
 #include <LibDecision/Configuration/RouteConfiguration.h>
 #include <LibDecision/Health/Health.h>
@@ -40,6 +41,7 @@
     const ProfileRegistry& profiles() const { return m_profiles; }
     const ProfileConfiguration& configuration() const { return m_configuration; }
     const RouteConfiguration& routes() const { return m_routes; }
+    const ConfigurationProof& configurationProof() const { return m_configurationProof; }
     const BackendRegistry& registry() const { return m_registry; }
     const LocalBackends& localBackends() const { return m_localBackends; }
     const Health& health() const { return m_health; }
@@ -57,8 +59,6 @@
     // Decides who sent the request, if there are tenants, and takes its account and terms from that. Returns the reason for
     // refusal if the request needs an API key and has none that is in force.
     std::optional<Reason> identify(const Turn&, const Route&, CallArrived&) const;
-    // Returns why a request with a key of this tenant must be refused although the key is in the table in force.
-    std::optional<Reason> refusalForKey(const Turn&, const CallArrived&, const Tenant&) const;
     // Returns the priority of a request of this route among those that wait for a slot; 0 is the most urgent.
     uint32_t priorityOf(const Route&, const RequestInfo&, uint32_t tenantPriority) const;
     void receive(Turn&, const CallerDisconnected&);
@@ -74,6 +74,7 @@
     void receive(Turn&, const LeaveRequested&);
     void receive(Turn&, const DrainRequested&);
     void receive(Turn&, const DefaultsChanged&);
+    void receive(Turn&, const SuspensionObserved&);
 
     // Apply a record that was received in a rumor or produced by this process.
     void applyRecord(Turn&, const MemberRecord&);
@@ -104,6 +105,7 @@
     Membership m_membership;
     ProfileConfiguration m_configuration;
     RouteConfiguration m_routes;
+    ConfigurationProof m_configurationProof;
     BackendRegistry m_registry;
     LocalBackends m_localBackends;
     Health m_health;
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -41,6 +41,7 @@
     RoutesNewestVersionHeard,
     RoutesWatchSeconds,
     RoutesUnusableEntries,
+    ConfigurationProofAge,
 };
 
 // Totals that other parts count themselves; they are set to their current value.
@@ -86,6 +87,7 @@
         EnumName { Telemetry::Gauge::RoutesNewestVersionHeard, "fulmar_routes_newest_version_heard" },
         EnumName { Telemetry::Gauge::RoutesWatchSeconds, "fulmar_routes_watch_seconds" },
         EnumName { Telemetry::Gauge::RoutesUnusableEntries, "fulmar_routes_unusable_entries" },
+        EnumName { Telemetry::Gauge::ConfigurationProofAge, "fulmar_configuration_proof_age_seconds" },
     };
 };
 
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -3,7 +3,6 @@
 #include <LibControl/Digest.h>
 #include <Services/fulmard/BearerKey.h>
 #include <Services/fulmard/ClientOutcome.h>
-#include <Services/fulmard/SuspendedTime.h>
 
 #include <algorithm>
 
@@ -109,7 +108,7 @@
     span->SetTag("service", info.service.value());
     auto shared = std::make_shared<Transport::HttpRequest>(std::move(request));
     m_calls.emplace(m_lastId, Call { serverRequest, info, std::move(shared), m_parties.now(), std::move(span), {} });
-    m_parties.sink(Decision::CallArrived { m_lastId, std::move(info), authority, std::nullopt, std::move(keyDigest), readSuspendedTime() });
+    m_parties.sink(Decision::CallArrived { m_lastId, std::move(info), authority, std::nullopt, std::move(keyDigest) });
 }
 
 std::string IngressCalls::takeIdentity(Transport::HttpRequest& request) const
--- a/Tests/LibControl/MessageGenerators.h
+++ b/Tests/LibControl/MessageGenerators.h
@@ -95,7 +95,7 @@
 inline MessageBody anyBody()
 {
     auto sequence = *rc::gen::arbitrary<uint64_t>();
-    switch (*rc::gen::inRange(0, 13)) {
+    switch (*rc::gen::inRange(0, 15)) {
     case 0:
         return Ping { sequence, anyRumors() };
     case 1:
@@ -120,6 +120,12 @@
         return ClaimOutcome { sequence, *anyName<ServiceName>(), 2, *anyName<AccountId>(), *anyName<IdempotencyKey>(), *anyName<RequestId>(), anyEnumValue<Outcome>() };
     case 11:
         return anyRouteTablePart();
+    case 12:
+        return ConfigurationProofRequest { sequence, *anyNumber<Incarnation>() };
+    case 13: {
+        auto age = *rc::gen::arbitrary<bool>() ? std::optional(Duration(*rc::gen::inRange(0, 10'000'000))) : std::nullopt;
+        return ConfigurationProofReply { sequence, *anyNumber<Incarnation>(), *anyNumber<Revision>(), age, *rc::gen::arbitrary<uint64_t>() };
+    }
     default:
         return ClaimHandover { *anyName<ServiceName>(), 1, *anyNumber<ClaimEpoch>(), 4, *rc::gen::arbitrary<bool>(), { anyClaimEntry() } };
     }
