--- a/Tests/StandIns/StandInBackend.cpp
+++ b/Tests/StandIns/StandInBackend.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <utility>
 
 namespace StandIns {
@@ -210,6 +211,8 @@
     body["backend"] = m_settings.id.value();
     body["service"] = m_settings.service.value();
     body["target"] = call.request.target;
+    if (auto bytes = findHeader(call.request.headers, answerBytesHeader))
+        body["padding"] = std::string(std::strtoull(std::string(*bytes).c_str(), nullptr, 10), 'x');
     auto response = jsonResponse(body);
     response.headers.push_back({ "fulmar-request-id", requestId });
     return response;
--- a/Tests/StandIns/StandInBackend.h
+++ b/Tests/StandIns/StandInBackend.h
@@ -41,6 +41,9 @@
     Duration drainTime { 3s };
 };
 
+// A request with this header gets an answer that is longer by that many bytes.
+constexpr auto answerBytesHeader = "standin-answer-bytes";
+
 // Everything that can be wrong with a backend server while its /health stays fine. POST /fault takes these as
 // JSON with the names in the comments; what a POST leaves out is as before any fault.
 struct BackendFaults {
