LibTransport: Bound what connections hold by one account of bytes

A process with default settings and 150 connections of one caller grew from 15 MB to 163 MB when each sent all but one byte of a body of 1,000,001 bytes, and to 317 MB with chunks of twice the limit.

The HTTP library buffers requests whole by itself, and bounds only each single body. Nothing bounded their sum, the answers that are read from backend servers, the answers that wait for slow readers, or the number of connections.

MemoryBudget is the account; a Reservation follows the bytes from the socket to the last byte of the answer. ConnectionMonitor takes the place of the library's reader of each socket. It reserves what a head announces before the body is read, and twice what has come of a body without a length, since its buffer is copied as it grows. What doesn't fit is refused by the library itself: for the one call the limit on bodies is 0, so HTTP/1 gets 503 and HTTP/2 REFUSED_STREAM, which both promise that nothing ran. HTTP/2 bodies are counted from the headers of the frames. When a reservation doesn't fit, the connections are closed that hold most and progress least, but only those below 64 KB/s after a second. An eighth is set apart for holders of up to 64 KB. Answers that don't fit aren't read on until there is room, for 3 s at most. Heads, idle connections, and bodies and answers without progress have time limits. At a limit on connections, unused ones make room, first those of the address that has most.

Three things besides kept memory: the library keeps the largest buffer of a connection until it closes, so empty ones are given back; a body is copied out in pieces whose pages are dropped; and the system's own buffers held up to 6 MB of a connection, all of which the library reads before anybody can refuse it, so they are bounded to 256 KB. A filter that gave the library an empty buffer kept refused connections open: 97 MB instead of 45 MB for 150 refused bodies; it sends none now.

Nothing of this is on without a budget, except the time limits and the return of buffers.

--- a/Libraries/LibTransport/AnswerReader.cpp
+++ b/Libraries/LibTransport/AnswerReader.cpp
@@ -99,6 +99,8 @@
 size_t AnswerReader::readSizedBody(std::span<char> bytes)
 {
     auto count = std::min<uint64_t>(bytes.size(), m_missingBytes);
+    if (m_response.body.empty())
+        m_response.body.reserve(m_missingBytes);
     m_response.body.append(bytes.data(), count);
     m_missingBytes -= count;
     if (m_missingBytes == 0)
@@ -121,6 +123,12 @@
     return bytes.size() - rest;
 }
 
+uint64_t AnswerReader::neededBytes() const
+{
+    constexpr uint64_t growthFactor = 2;
+    return m_framing == AnswerFraming::Chunked ? growthFactor * m_response.body.size() : m_response.body.size() + m_missingBytes;
+}
+
 size_t AnswerReader::breakOff(std::string problem)
 {
     m_state = AnswerState::Broken;
--- a/Libraries/LibTransport/AnswerReader.h
+++ b/Libraries/LibTransport/AnswerReader.h
@@ -32,6 +32,8 @@
     const std::string& problem() const { return m_problem; }
     // Whether the connection may carry another request after this whole answer.
     bool isPersistent() const { return m_isPersistent; }
+    // Bytes that the answer takes: the whole body if its length is known, else what a buffer takes that grows.
+    uint64_t neededBytes() const;
     HttpResponse takeResponse() { return std::move(m_response); }
 
 private:
--- a/Libraries/LibTransport/ClientConnection.cpp
+++ b/Libraries/LibTransport/ClientConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibTransport/ClientConnection.h>
 
 #include <LibTransport/SocketAddress.h>
+#include <LibTransport/SocketBuffer.h>
 
 #include <cerrno>
 #include <linux/tcp.h>
@@ -84,7 +85,11 @@
 
 std::span<char> ClientConnection::input() { return { m_socket->input->bytes, m_socket->input->size }; }
 
-void ClientConnection::consume(size_t count) { h2o_buffer_consume(&m_socket->input, count); }
+void ClientConnection::consume(size_t count)
+{
+    h2o_buffer_consume(&m_socket->input, count);
+    shrinkEmptyBuffer(m_socket->input);
+}
 
 bool ClientConnection::isQuiet() const
 {
--- a/Libraries/LibTransport/ClientExchange.h
+++ b/Libraries/LibTransport/ClientExchange.h
@@ -16,7 +16,10 @@
 public:
     // The request must outlive the exchange. The callback tells that the exchange has ended; it may be called
     // from within begin().
-    ClientExchange(EventLoop&, const ClientRequest&, std::unique_ptr<ClientConnection>, std::function<void()> onEnd);
+    ClientExchange(EventLoop&, const ClientRequest&, std::unique_ptr<ClientConnection>, std::shared_ptr<MemoryBudget>, std::function<void()> onEnd);
+    ~ClientExchange();
+    ClientExchange(const ClientExchange&) = delete;
+    ClientExchange& operator=(const ClientExchange&) = delete;
 
     void begin();
     // Closes the connection and ends the exchange with the status, or with NotSent if nothing was sent.
@@ -37,7 +40,11 @@
 
 private:
     void sendRequest();
+    const std::string& body() const { return m_request.bodyOf ? m_request.bodyOf->body : m_request.request.body; }
+    void readOn();
     void onReadable(const char* error);
+    void pauseReading();
+    void resumeReading();
     void end(ClientStatus, std::string error);
 
     EventLoop& m_loop;
@@ -45,6 +52,9 @@
     std::unique_ptr<ClientConnection> m_connection;
     std::function<void()> m_onEnd;
     AnswerReader m_reader;
+    std::shared_ptr<Reservation> m_reservation;
+    TimerId m_resumeTimer { 0 };
+    Instant m_pausedAt;
     std::string m_head;
     std::array<h2o_iovec_t, 2> m_buffers {};
     ClientResult m_result;
--- a/Libraries/LibTransport/EventLoop.h
+++ b/Libraries/LibTransport/EventLoop.h
@@ -39,6 +39,7 @@
     void onSignal(int signalNumber, std::function<void()>);
 
 private:
+    friend class ConnectionMonitor;
     friend class HttpServer;
     friend class HttpClient;
     struct Implementation;
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -17,7 +17,7 @@
 
 HttpClient::Implementation::Implementation(EventLoop& eventLoop, ClientOptions clientOptions)
     : loop(eventLoop)
-    , options(clientOptions)
+    , options(std::move(clientOptions))
 {
 }
 
@@ -120,7 +120,7 @@
 
 void HttpClient::Implementation::startExchange(ClientRequestId id, OpenRequest& open, std::unique_ptr<ClientConnection> connection)
 {
-    open.exchange = std::make_unique<ClientExchange>(loop, open.request, std::move(connection), [this, id] { exchangeEnded(id); });
+    open.exchange = std::make_unique<ClientExchange>(loop, open.request, std::move(connection), options.memory, [this, id] { exchangeEnded(id); });
     if (open.request.progressTimeout > Duration(0))
         open.progressTimer = loop.callAt(loop.now() + open.request.progressTimeout, [this, id] { checkProgress(id); });
     open.exchange->begin();
@@ -294,7 +294,7 @@
 }
 
 HttpClient::HttpClient(EventLoop& loop, ClientOptions options)
-    : m_implementation(std::make_unique<Implementation>(loop, options))
+    : m_implementation(std::make_unique<Implementation>(loop, std::move(options)))
 {
 }
 
--- a/Libraries/LibTransport/HttpClient.h
+++ b/Libraries/LibTransport/HttpClient.h
@@ -28,6 +28,8 @@
     TimedOut,
     // Nothing moved on the connection for the progress timeout.
     Silent,
+    // This process had no memory for the answer.
+    NoMemory,
 };
 
 }
@@ -41,6 +43,7 @@
         EnumName { Transport::ClientStatus::Malformed, "malformed" },
         EnumName { Transport::ClientStatus::TimedOut, "timed-out" },
         EnumName { Transport::ClientStatus::Silent, "silent" },
+        EnumName { Transport::ClientStatus::NoMemory, "no-memory" },
     };
 };
 
@@ -50,6 +53,8 @@
     Endpoint to;
     // Method, target, headers and body count; the other fields are ignored. Host is the authority, or the endpoint if empty.
     HttpRequest request;
+    // Its body is sent instead, if set, so that a long one needn't be copied.
+    std::shared_ptr<const HttpRequest> bodyOf;
     // From now until the whole answer is here.
     Duration deadline { std::chrono::seconds(30) };
     // Longest time without any byte moving; zero means the deadline alone.
@@ -89,6 +94,8 @@
     // Whether the kernel probes connections on which nothing moves. A connection that something on the way has forgotten
     // then ends within silenceTimeout, also while a request waits on it for longer. The peer's program notices nothing.
     bool probesConnections { false };
+    // The account for answers that are read; no limit if empty. Answers that don't fit are read on once there is room.
+    std::shared_ptr<MemoryBudget> memory;
 };
 
 // Sends HTTP/1.1 requests by h2o, on pooled connections, and hands answers over whole.
--- a/Libraries/LibTransport/HttpMessage.cpp
+++ b/Libraries/LibTransport/HttpMessage.cpp
@@ -67,4 +67,9 @@
     });
 }
 
+HttpRequest withoutBody(const HttpRequest& request)
+{
+    return { request.method, request.authority, request.target, request.headers, {}, request.peerAddress, request.peerPort, request.protocol, nullptr };
+}
+
 }
--- a/Libraries/LibTransport/HttpMessage.h
+++ b/Libraries/LibTransport/HttpMessage.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibModel/Endpoint.h>
+#include <LibTransport/MemoryBudget.h>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,13 +51,20 @@
     uint16_t peerPort { 0 };
     // "HTTP/1.1" or "HTTP/2".
     std::string protocol;
+    // Accounts for the body; copies share it. Empty if nobody keeps account.
+    std::shared_ptr<Reservation> reservation;
 };
 
+// Copies all but the body.
+HttpRequest withoutBody(const HttpRequest&);
+
 // An answer with its whole body. Content-Length is derived from the body.
 struct HttpResponse {
     uint16_t status { 200 };
     HeaderList headers;
     std::string body;
+    // Accounts for the body; copies share it. Empty if nobody keeps account.
+    std::shared_ptr<Reservation> reservation;
 };
 
 }
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <LibTransport/RequestFraming.h>
 #include <LibTransport/ResponseWriter.h>
 #include <LibTransport/SocketAddress.h>
+#include <LibTransport/SocketBuffer.h>
 
 #include <LibModel/Error.h>
 
@@ -21,15 +22,18 @@
 static constexpr int connectionsPerWakeUp = 64;
 // Time without an accept after the process ran out of descriptors.
 static constexpr Duration acceptPause = 100ms;
-// Longer than the idle timeout of our own clients, so that it is they who close idle connections.
-static constexpr std::chrono::milliseconds idleTimeout = 75s;
-// Bodies that exceed the limit by less are read whole, so that the refusal leaves the connection as it is, and
-// reaches an HTTP/2 peer too: there the library only resets the stream when it refuses a body itself.
-static constexpr uint64_t bodyBytesReadBeyondLimit = 1u << 20;
+// Callers whose bodies are refused may go on sending, and a crowd of them would take a second descriptor for each connection.
+static constexpr size_t mostLingeringRefusals = 64;
+// The library reads all that the system has of a connection before anybody can refuse it, and the system would keep up to
+// some megabytes. Enough for 200 Mbit/s at 10 ms there and back.
+static constexpr int socketBufferBytes = 256 << 10;
+// A body is copied from the library's buffer in pieces, each of which is given back before the next.
+static constexpr size_t copiedPiece = 1u << 20;
 static constexpr int http2Version = 0x200;
 static constexpr uint16_t contentTooLarge = 413;
 static constexpr uint16_t badRequest = 400;
 static constexpr uint16_t requestTimeout = 408;
+static constexpr uint16_t serviceUnavailable = 503;
 
 struct ServerHandler {
     h2o_handler_t super;
@@ -59,9 +63,7 @@
     , peerCloses(eventLoop.m_implementation->loop, [this](uint64_t key) { peerClosed(key); })
 {
     h2o_config_init(&config);
-    config.max_request_entity_size = options.maximumBodyBytes + bodyBytesReadBeyondLimit;
-    config.http1.req_timeout = idleTimeout.count();
-    config.http2.idle_timeout = idleTimeout.count();
+    monitor = std::make_unique<ConnectionMonitor>(*this);
     config.server_name = h2o_iovec_init(H2O_STRLIT("fulmarsail"));
     registerHandlers();
     h2o_context_init(&context, loop.m_implementation->loop, &config);
@@ -97,6 +99,13 @@
     };
 }
 
+// Accepted connections inherit it.
+static void boundSocketBuffers(int listener)
+{
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &socketBufferBytes, sizeof(socketBufferBytes));
+    setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &socketBufferBytes, sizeof(socketBufferBytes));
+}
+
 void HttpServer::Implementation::listen()
 {
     auto address = toSocketAddress(options.listen);
@@ -111,6 +120,8 @@
         fail("open listener", descriptor);
     int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (options.memory)
+        boundSocketBuffers(descriptor);
     if (bind(descriptor, address.get(), address.length) != 0)
         fail("bind listener", descriptor);
     if (::listen(descriptor, H2O_SOMAXCONN) != 0)
@@ -133,7 +144,7 @@
     });
 }
 
-// Without descriptors the listener stays readable, and the loop would spin until one is free.
+// Without descriptors, or room for a connection, the listener stays readable, and the loop would spin until there is.
 void HttpServer::Implementation::pauseAccepting()
 {
     h2o_socket_read_stop(listener);
@@ -143,6 +154,10 @@
 void HttpServer::Implementation::acceptConnections()
 {
     for (int count = 0; count < connectionsPerWakeUp; ++count) {
+        if (!monitor->hasRoom()) {
+            pauseAccepting();
+            return;
+        }
         auto* socket = h2o_evloop_socket_accept(listener);
         if (!socket) {
             if (errno == EMFILE || errno == ENFILE)
@@ -157,7 +172,9 @@
 {
     int on = 1;
     setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    auto* connection = new ServerConnection { this, socket, ++lastConnectionKey };
+    SocketAddress peer;
+    peer.length = h2o_socket_getpeername(socket, peer.get());
+    auto* connection = new ServerConnection { this, socket, ++lastConnectionKey, 0, -1, { options.memory, toEndpoint(peer).address, loop.now() } };
     connections.emplace(connection->key, connection);
     socket->on_close.data = connection;
     socket->on_close.cb = [](void* data) {
@@ -169,6 +186,7 @@
         return;
     }
     h2o_accept(&acceptContext, socket);
+    monitor->connectionOpened(*connection);
 }
 
 void HttpServer::Implementation::closeListener()
@@ -201,29 +219,33 @@
 void HttpServer::Implementation::connectionClosed(ServerConnection* connection)
 {
     connections.erase(connection->key);
+    monitor->connectionClosed(*connection);
     if (connection->lingerDescriptor != -1) {
+        --pendingLingers;
         auto& shared = *loop.m_implementation;
         shared.retired.push_back(std::make_unique<LingeringClose>(loop, shared.loop, connection->lingerDescriptor, lingering));
     }
     delete connection;
 }
 
+static ServerConnection* connectionOf(h2o_req_t* request)
+{
+    auto* socket = request->conn->callbacks->get_socket(request->conn);
+    return static_cast<ServerConnection*>(socket->on_close.data);
+}
+
 RequestAnchor* HttpServer::Implementation::anchorFor(h2o_req_t* request, ServerRequestId id)
 {
     auto* memory = h2o_mem_alloc_shared(&request->pool, sizeof(RequestAnchor), [](void* data) {
         auto* anchor = static_cast<RequestAnchor*>(data);
         --anchor->server->openExchanges;
+        anchor->server->writing.erase(anchor);
         anchor->server->requestDisposed(anchor->id);
+        anchor->server->monitor->exchangeEnded(anchor->connectionKey, anchor->isAnswered, anchor->unsentBytes);
         anchor->~RequestAnchor();
     });
     ++openExchanges;
-    return new (memory) RequestAnchor { this, id, {} };
-}
-
-static ServerConnection* connectionOf(h2o_req_t* request)
-{
-    auto* socket = request->conn->callbacks->get_socket(request->conn);
-    return static_cast<ServerConnection*>(socket->on_close.data);
+    return new (memory) RequestAnchor { this, id, {}, connectionOf(request)->key };
 }
 
 static Endpoint peerOf(h2o_req_t* request)
@@ -233,7 +255,20 @@
     return toEndpoint(address);
 }
 
-static HttpRequest readRequest(h2o_req_t* request)
+// Copies the body, and gives the memory of the library's own back: it reads the body no more.
+static std::string takeBody(const h2o_iovec_t& entity)
+{
+    std::string body;
+    body.reserve(entity.len);
+    for (size_t offset = 0; offset < entity.len; offset += copiedPiece) {
+        auto piece = std::min(copiedPiece, entity.len - offset);
+        body.append(entity.base + offset, piece);
+        dropPages(entity.base + offset, piece);
+    }
+    return body;
+}
+
+static HttpRequest readRequest(h2o_req_t* request, const std::shared_ptr<MemoryBudget>& memory)
 {
     HttpRequest result;
     result.method = toString(request->method);
@@ -244,7 +279,8 @@
         const auto& header = request->headers.entries[i];
         result.headers.push_back({ toString(*header.name), toString(header.value) });
     }
-    result.body = toString(request->entity);
+    result.body = takeBody(request->entity);
+    result.reservation = reserveHeld(memory, MemoryKind::Requests, result.body.size());
     auto peer = peerOf(request);
     result.peerAddress = std::move(peer.address);
     result.peerPort = peer.port;
@@ -259,6 +295,9 @@
     if (request->version < http2Version)
         pending.connection = connectionOf(request);
     requests.emplace(id, pending);
+    auto& connection = *connectionOf(request);
+    auto bodyBytes = request->entity.len;
+    monitor->requestHanded(connection, bodyBytes);
 
     if (pending.connection) {
         pending.connection->waitingRequest = id;
@@ -273,7 +312,7 @@
         respond(id, HttpResponse { badRequest, { { "content-type", "text/plain" } }, "The request's length is ambiguous.\n" });
         return 0;
     }
-    if (request->entity.len > options.maximumBodyBytes) {
+    if (bodyBytes > monitor->limits().bodyBytes) {
         respond(id, bodyTooLarge());
         return 0;
     }
@@ -281,7 +320,7 @@
         respond(id, HttpResponse { .status = requestTimeout });
         return 0;
     }
-    loop.m_implementation->protect([&] { options.onRequest(id, readRequest(request)); });
+    loop.m_implementation->protect([&] { options.onRequest(id, readRequest(request, options.memory)); });
     return 0;
 }
 
@@ -343,13 +382,37 @@
     // The peer may have sent its next request already.
     if (pending->connection && !pending->request->http1_is_persistent)
         lingerAfterClose(*pending->connection);
+    beginAnswer(*pending, response);
     writeResponse(*pending->request, std::move(response), pending->anchor->body);
 }
 
+void HttpServer::Implementation::beginAnswer(const PendingRequest& pending, HttpResponse& response)
+{
+    auto& anchor = *pending.anchor;
+    anchor.isAnswered = true;
+    anchor.unsentBytes = response.body.size();
+    anchor.reservation = response.reservation ? std::move(response.reservation) : reserveHeld(options.memory, MemoryKind::Unsent, anchor.unsentBytes);
+    anchor.reservation->setKind(MemoryKind::Unsent);
+    writing.insert(&anchor);
+    auto connection = connections.find(anchor.connectionKey);
+    if (connection != connections.end())
+        monitor->answerBegun(*connection->second, anchor.unsentBytes);
+}
+
+void HttpServer::Implementation::releaseUnsent(const ServerConnection& connection)
+{
+    for (auto* anchor : writing) {
+        if (anchor->connectionKey == connection.key)
+            anchor->reservation->force(0);
+    }
+}
+
 void HttpServer::Implementation::lingerAfterClose(ServerConnection& connection)
 {
-    if (connection.lingerDescriptor == -1)
-        connection.lingerDescriptor = fcntl(h2o_socket_get_fd(connection.socket), F_DUPFD_CLOEXEC, 0);
+    if (connection.lingerDescriptor != -1)
+        return;
+    connection.lingerDescriptor = fcntl(h2o_socket_get_fd(connection.socket), F_DUPFD_CLOEXEC, 0);
+    pendingLingers += connection.lingerDescriptor != -1 ? 1 : 0;
 }
 
 void HttpServer::Implementation::cut(ServerRequestId id, HttpResponse response, size_t bodyBytes)
@@ -359,6 +422,7 @@
         return;
     if (bodyBytes == 0 && pending->connection)
         shutdown(h2o_socket_get_fd(pending->connection->socket), SHUT_RDWR);
+    beginAnswer(*pending, response);
     writeCutResponse(*pending->request, std::move(response), bodyBytes, pending->anchor->body);
 }
 
@@ -370,6 +434,14 @@
     return response;
 }
 
+HttpResponse HttpServer::Implementation::noMemory() const
+{
+    HttpResponse response { serviceUnavailable, { { "content-type", "text/plain" }, { "retry-after", "1" } }, "There is no memory for the request's body.\n" };
+    if (hasOwner && options.onNoMemory)
+        loop.m_implementation->protect([&] { response = options.onNoMemory(); });
+    return response;
+}
+
 // The library refuses a body over the limit by itself, while the peer may still be sending.
 void HttpServer::Implementation::replaceEntityTooLarge(h2o_req_t* request, h2o_ostream_t** slot)
 {
@@ -377,10 +449,11 @@
     bool isOurs = request->_generator == responseGenerator();
     if (isOurs || request->res.status != contentTooLarge)
         return;
-    if (request->version < http2Version)
+    bool mayLinger = pendingLingers + *lingering < mostLingeringRefusals;
+    if (request->version < http2Version && mayLinger)
         lingerAfterClose(*connection);
 
-    auto response = bodyTooLarge();
+    auto response = monitor->isRefusing() ? noMemory() : bodyTooLarge();
     auto body = h2o_strdup(&request->pool, response.body.data(), response.body.size());
     request->res.headers.size = 0;
     writeHead(*request, response);
@@ -391,7 +464,8 @@
     ostream->super.do_send = [](h2o_ostream_t* self, h2o_req_t* sender, h2o_iovec_t*, size_t, h2o_send_state_t state) {
         auto* replaced = reinterpret_cast<ReplacedBody*>(self);
         auto isFirst = !std::exchange(replaced->isSent, true);
-        h2o_ostream_send_next(self, sender, &replaced->body, isFirst ? 1 : 0, state);
+        // The library doesn't end a connection after a buffer without bytes.
+        h2o_ostream_send_next(self, sender, &replaced->body, isFirst && replaced->body.len > 0 ? 1 : 0, state);
     };
 }
 
@@ -420,6 +494,10 @@
 
 size_t HttpServer::lingeringConnections() const { return *m_implementation->lingering; }
 
+size_t HttpServer::openConnections() const { return m_implementation->connections.size(); }
+
+uint64_t HttpServer::ends(ConnectionEndReason reason) const { return m_implementation->monitor->ends()[static_cast<size_t>(reason)]; }
+
 size_t HttpServer::openRequests() const { return m_implementation->requests.size(); }
 
 void HttpServer::closeAfterAnswers() { m_implementation->closesAfterAnswers = true; }
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -3,6 +3,8 @@
 #include <LibModel/Endpoint.h>
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/HttpMessage.h>
+#include <LibTransport/MemoryBudget.h>
+#include <LibTransport/ServerLimits.h>
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +25,18 @@
     std::function<void(ServerRequestId)> onRequestGone;
     // Makes the 413 answer; a plain one if empty.
     std::function<HttpResponse()> onBodyTooLarge;
+    // The account for what connections hold; nothing is refused for its sake if empty.
+    std::shared_ptr<MemoryBudget> memory;
+    // Makes the 503 answer to a request whose body doesn't fit into the budget; a plain one if empty.
+    std::function<HttpResponse()> onNoMemory;
+    // Asked once a second for the limits in force; those of maximumBodyBytes and the defaults if empty.
+    std::function<ServerLimits()> limits;
+    // Connections open at once; 0 for any number. At the limit, unused ones are closed for new ones.
+    size_t maximumConnections { 0 };
+    // Names the account in what onConnectionEnd gets; lower case.
+    std::string accountHeader;
+    // A connection was closed, or a request refused, to keep a limit.
+    std::function<void(const ConnectionEnd&)> onConnectionEnd;
 };
 
 // Serves HTTP/1.1 and HTTP/2 (prior knowledge) by h2o. Requests are handed over whole.
@@ -48,6 +62,9 @@
     bool hasUnwrittenAnswers() const;
     // Connections that this side has closed after an answer, and whose peers haven't yet.
     size_t lingeringConnections() const;
+    size_t openConnections() const;
+    // How many connections were closed and requests refused for the reason.
+    uint64_t ends(ConnectionEndReason) const;
 
     // Goes on taking connections, but ends each one after its next answer.
     void closeAfterAnswers();
--- a/Libraries/LibTransport/HttpServerImplementation.h
+++ b/Libraries/LibTransport/HttpServerImplementation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibTransport/ConnectionMonitor.h>
 #include <LibTransport/EventLoopImplementation.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/PeerCloseWatch.h>
@@ -7,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Transport {
 
@@ -19,6 +21,7 @@
     ServerRequestId waitingRequest { 0 };
     // A second descriptor of a connection whose peer may still be sending; -1 if not needed.
     int lingerDescriptor { -1 };
+    ConnectionState state;
 };
 
 // Lies in the library's memory pool of a request, and so ends with it.
@@ -27,6 +30,10 @@
     ServerRequestId id { 0 };
     // The answer's body, which the library sends from here.
     std::string body;
+    uint64_t connectionKey { 0 };
+    bool isAnswered { false };
+    uint64_t unsentBytes { 0 };
+    std::shared_ptr<Reservation> reservation;
 };
 
 struct PendingRequest {
@@ -54,6 +61,8 @@
     void replaceEntityTooLarge(h2o_req_t*, h2o_ostream_t** slot);
     void connectionClosed(ServerConnection*);
     void requestDisposed(ServerRequestId);
+    // Gives back what answers on the connection have reserved, before the library ends them.
+    void releaseUnsent(const ServerConnection&);
 
     void respond(ServerRequestId, HttpResponse);
     void cut(ServerRequestId, HttpResponse, size_t bodyBytes);
@@ -75,9 +84,14 @@
     size_t openExchanges { 0 };
     // Connections that are closed but for what their peers still send.
     std::shared_ptr<size_t> lingering { std::make_shared<size_t>(0) };
+    // Connections that will linger once they close.
+    size_t pendingLingers { 0 };
     bool closesAfterAnswers { false };
     // False once the HttpServer is gone: its callbacks are no longer called.
     bool hasOwner { true };
+    // Answers that are being written.
+    std::unordered_set<RequestAnchor*> writing;
+    std::unique_ptr<ConnectionMonitor> monitor;
 
 private:
     void registerHandlers();
@@ -90,7 +104,9 @@
     std::optional<PendingRequest> take(ServerRequestId);
     void abandon(ServerConnection&);
     void endUnanswered(ServerConnection&);
+    void beginAnswer(const PendingRequest&, HttpResponse&);
     HttpResponse bodyTooLarge() const;
+    HttpResponse noMemory() const;
 };
 
 }
--- a/Libraries/LibTransport/LingeringClose.cpp
+++ b/Libraries/LibTransport/LingeringClose.cpp
@@ -1,5 +1,7 @@
 #include <LibTransport/LingeringClose.h>
 
+#include <LibTransport/SocketBuffer.h>
+
 #include <utility>
 
 namespace Transport {
@@ -32,6 +34,7 @@
 {
     m_droppedBytes += m_socket->input->size;
     h2o_buffer_consume(&m_socket->input, m_socket->input->size);
+    shrinkEmptyBuffer(m_socket->input);
     if (!error && m_droppedBytes < maximumDroppedBytes)
         return;
     m_isFinished = true;
--- a/Libraries/LibTransport/RequestText.cpp
+++ b/Libraries/LibTransport/RequestText.cpp
@@ -33,7 +33,7 @@
 
 static bool mayHaveBody(std::string_view method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
 
-std::string formatRequestHead(const HttpRequest& request, const Endpoint& to)
+std::string formatRequestHead(const HttpRequest& request, const Endpoint& to, size_t bodyBytes)
 {
     auto host = request.authority.empty() ? to.toString() : request.authority;
     if (!isToken(request.method) || !isToken(request.target) || !isToken(host))
@@ -47,8 +47,8 @@
             throw Error("write request", to.toString(), "a header field holds characters that aren't allowed");
         text += header.name + ": " + header.value + "\r\n";
     }
-    if (!request.body.empty() || mayHaveBody(request.method))
-        text += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+    if (bodyBytes > 0 || mayHaveBody(request.method))
+        text += "content-length: " + std::to_string(bodyBytes) + "\r\n";
     return text + "\r\n";
 }
 
--- /dev/null
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -0,0 +1,184 @@
+#include <LibTransport/HttpServer.h>
+#include <Tests/LibTransport/RawClient.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <memory>
+#include <vector>
+
+using namespace Transport;
+using namespace TransportTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint64_t megabyte = 1u << 20;
+
+// A server with an account of 8 MB, of which one is set apart for small requests.
+class BoundedServer : public ::testing::Test {
+protected:
+    void start(ServerLimits limits = {}, size_t maximumConnections = 0)
+    {
+        limits.bodyBytes = 16 * megabyte;
+        HttpServerOptions options;
+        options.listen = { "127.0.0.1", 0 };
+        options.maximumBodyBytes = limits.bodyBytes;
+        options.memory = memory;
+        options.maximumConnections = maximumConnections;
+        options.accountHeader = "x-account";
+        options.limits = [limits] { return limits; };
+        options.onRequest = [this](ServerRequestId id, HttpRequest request) {
+            bodies.push_back(request.body.size());
+            server->respond(id, { 200, {}, "done" });
+        };
+        options.onConnectionEnd = [this](const ConnectionEnd& end) { ends.push_back(end); };
+        server = std::make_unique<HttpServer>(loop, std::move(options));
+    }
+
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        auto end = loop.now() + 20s;
+        while (!condition() && loop.now() < end)
+            loop.runOnce(5ms);
+        return condition();
+    }
+
+    bool runUntilEnd(ConnectionEndReason reason)
+    {
+        return runUntil([&] { return std::ranges::any_of(ends, [&](const auto& end) { return end.reason == reason; }); });
+    }
+
+    static std::string post(uint64_t bodyBytes, const std::string& fields = "")
+    {
+        return "POST / HTTP/1.1\r\nHost: a\r\n" + fields + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    }
+
+    EventLoop loop;
+    std::shared_ptr<MemoryBudget> memory { std::make_shared<MemoryBudget>(8 * megabyte) };
+    std::unique_ptr<HttpServer> server;
+    std::vector<size_t> bodies;
+    std::vector<ConnectionEnd> ends;
+};
+
+}
+
+// Guards against refusing what the memory bears.
+TEST_F(BoundedServer, ServesASingleBodyThatFitsAndReleasesIt)
+{
+    start();
+    RawClient client(server->endpoint());
+    client.sendAll(loop, post(6 * megabyte) + std::string(6 * megabyte, 'x'));
+    EXPECT_NE(client.readUntil(loop, "done").find("200"), std::string::npos);
+    EXPECT_EQ(bodies, std::vector<size_t> { 6 * megabyte });
+    EXPECT_TRUE(runUntil([&] { return memory->held() == 0; }));
+}
+
+// Guards against buffering a body that can't be served.
+TEST_F(BoundedServer, RefusesAnAnnouncedBodyThatDoesNotFitBeforeItComes)
+{
+    start();
+    RawClient client(server->endpoint());
+    client.send(post(10 * megabyte, "X-Account: desk\r\n"));
+    EXPECT_NE(client.readUntil(loop, "no memory").find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_TRUE(bodies.empty());
+    ASSERT_EQ(ends.size(), 1u);
+    EXPECT_EQ(ends.front().reason, ConnectionEndReason::MemoryRefused);
+    EXPECT_EQ(ends.front().address, "127.0.0.1");
+    EXPECT_EQ(ends.front().account, "desk");
+}
+
+// Guards against bodies without a length that grow beyond the account.
+TEST_F(BoundedServer, RefusesAChunkedBodyOnceItDoesNotFit)
+{
+    start();
+    RawClient client(server->endpoint());
+    std::string text = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 10; ++i)
+        text += "100000\r\n" + std::string(megabyte, 'x') + "\r\n";
+    client.sendAll(loop, text);
+    EXPECT_NE(client.readUntil(loop, "no memory").find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_TRUE(bodies.empty());
+}
+
+// Guards against small requests that starve while large ones hold the account, and against a stalled client that keeps
+// others out.
+TEST_F(BoundedServer, ServesSmallRequestsBesideAStalledBodyAndClosesItForALargeOne)
+{
+    start();
+    RawClient stalled(server->endpoint());
+    stalled.send(post(7 * megabyte - 200));
+    EXPECT_TRUE(runUntil([&] { return memory->held() > 6 * megabyte; }));
+
+    RawClient small(server->endpoint());
+    small.send(post(5) + "hello");
+    EXPECT_NE(small.readUntil(loop, "done").find("200"), std::string::npos);
+
+    // A connection gets a second to show progress before it is closed for others.
+    auto trialEnd = loop.now() + 1100ms;
+    runUntil([&] { return loop.now() > trialEnd; });
+    RawClient large(server->endpoint());
+    large.sendAll(loop, post(2 * megabyte) + std::string(2 * megabyte, 'x'));
+    EXPECT_NE(large.readUntil(loop, "done").find("200"), std::string::npos);
+    stalled.readToEnd(loop);
+    EXPECT_TRUE(stalled.isClosedByServer());
+    EXPECT_TRUE(runUntilEnd(ConnectionEndReason::MemoryShed));
+}
+
+// Guards against connections that stay open without end.
+TEST_F(BoundedServer, ClosesUnfinishedHeadsStalledBodiesAndIdleConnections)
+{
+    ServerLimits limits;
+    limits.headTimeout = limits.stallTimeout = limits.idleTimeout = 500ms;
+    start(limits);
+    RawClient head(server->endpoint());
+    RawClient body(server->endpoint());
+    RawClient idle(server->endpoint());
+    head.send("GET / HTTP/1.1\r\n");
+    body.send(post(1000) + "x");
+    EXPECT_TRUE(runUntilEnd(ConnectionEndReason::HeadTimeout));
+    EXPECT_TRUE(runUntilEnd(ConnectionEndReason::BodyStalled));
+    EXPECT_TRUE(runUntilEnd(ConnectionEndReason::IdleTimeout));
+    EXPECT_TRUE(runUntil([&] { return server->openConnections() == 0; }));
+}
+
+TEST_F(BoundedServer, ClosesAHeadThatIsTooLong)
+{
+    ServerLimits limits;
+    limits.headBytes = 4096;
+    start(limits);
+    runUntil([&, until = loop.now() + 1100ms] { return loop.now() > until; });
+    RawClient client(server->endpoint());
+    client.sendAll(loop, "GET / HTTP/1.1\r\n" + std::string(5000, 'x'));
+    EXPECT_TRUE(runUntilEnd(ConnectionEndReason::HeadTooLong));
+}
+
+// Guards against a crowd of connections that locks out the next caller.
+TEST_F(BoundedServer, MakesRoomForANewConnectionAtTheLimit)
+{
+    start({}, 4);
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    for (int i = 0; i < 8; ++i) {
+        crowd.push_back(std::make_unique<RawClient>(server->endpoint()));
+        loop.runOnce(1ms);
+    }
+    RawClient client(server->endpoint());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_NE(client.readUntil(loop, "done").find("200"), std::string::npos);
+    EXPECT_LE(server->openConnections(), 4u);
+    EXPECT_TRUE(runUntilEnd(ConnectionEndReason::ConnectionShed));
+}
+
+// Guards against a second request on a connection that escapes the account.
+TEST_F(BoundedServer, CountsEachRequestOfAConnection)
+{
+    start();
+    RawClient client(server->endpoint());
+    for (int i = 0; i < 3; ++i) {
+        client.sendAll(loop, post(3 * megabyte) + std::string(3 * megabyte, 'x'));
+        EXPECT_TRUE(runUntil([&] { return bodies.size() == size_t(i) + 1; }));
+    }
+    runUntil([&] { return memory->held() == 0; });
+    client.send(post(10 * megabyte));
+    EXPECT_NE(client.readUntil(loop, "no memory").find("HTTP/1.1 503"), std::string::npos);
+}
