fulmard: Keep one account of bytes and descriptors for the process

All servers and the client of a process share one MemoryBudget. Half of the descriptors serve callers, a fifth the control endpoint, a twentieth each further listener; the rest stays for peers, backend servers and the store.

A request's body is no longer copied for each send. An answer is kept for replays only if it fits; otherwise a replay is told that the outcome is unknown. A peer's run order whose body doesn't fit gets an answer that says it wasn't run, so that the ingress asks another process. An answer that this process has no memory for is no evidence against its backend server. Long buffers are mapped one by one, because the allocator's heap doesn't give them back.

--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -8,6 +8,9 @@
 namespace {
 
     constexpr uint64_t largestBody = 64u << 20;
+    constexpr uint64_t smallestMemory = 1u << 20;
+    constexpr uint64_t largestMemory = uint64_t(1) << 40;
+    constexpr uint64_t fewestDescriptors = 64;
 
     LogSettings readLog(YamlReader reader)
     {
@@ -35,6 +38,8 @@
         settings.requestBodyBytes = reader.wholeNumber("request-body-bytes", 1, largestBody, settings.requestBodyBytes);
         settings.answerBodyBytes = reader.wholeNumber("answer-body-bytes", 1, largestBody, settings.answerBodyBytes);
         settings.concurrentCalls = reader.wholeNumber("concurrent-calls", 1, 100'000, settings.concurrentCalls);
+        settings.memoryBytes = reader.wholeNumber("memory-bytes", smallestMemory, largestMemory, settings.memoryBytes);
+        settings.descriptors = reader.wholeNumber("descriptors", fewestDescriptors, 1'000'000, settings.descriptors);
         reader.finish();
         return settings;
     }
--- a/Libraries/LibModel/Settings.h
+++ b/Libraries/LibModel/Settings.h
@@ -48,6 +48,10 @@
     uint64_t answerBodyBytes { 8u << 20 };
     // Calls that the process handles at once.
     uint32_t concurrentCalls { 4096 };
+    // Bytes that the process holds for callers, peers and backend servers together; 0 derives them from the machine's memory.
+    uint64_t memoryBytes { 0 };
+    // Open descriptors of the process; 0 takes the system's limit.
+    uint64_t descriptors { 0 };
 };
 
 // Which interface the platform's store has.
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -40,6 +40,15 @@
     RoutesVersion,
     RoutesNewestVersionHeard,
     RoutesWatchSeconds,
+    // Bytes that may be held for callers, peers and backend servers, and those that are.
+    MemoryLimit,
+    MemoryArriving,
+    MemoryRequests,
+    MemoryAnswers,
+    MemoryUnsent,
+    MemoryKept,
+    CallerConnections,
+    ControlConnections,
 };
 
 // Totals that other parts count themselves; they are set to their current value.
@@ -55,6 +64,15 @@
     FirstArrivals,
     RetryArrivals,
     CountedArrivals,
+    // Connections closed and requests refused to keep a limit.
+    HeadsTooLong,
+    HeadTimeouts,
+    IdleTimeouts,
+    BodiesStalled,
+    AnswersStalled,
+    MemoryRefusals,
+    MemorySheds,
+    ConnectionSheds,
 };
 
 }
@@ -84,6 +102,14 @@
         EnumName { Telemetry::Gauge::RoutesVersion, "fulmar_routes_version" },
         EnumName { Telemetry::Gauge::RoutesNewestVersionHeard, "fulmar_routes_newest_version_heard" },
         EnumName { Telemetry::Gauge::RoutesWatchSeconds, "fulmar_routes_watch_seconds" },
+        EnumName { Telemetry::Gauge::MemoryLimit, "fulmar_memory_limit_bytes" },
+        EnumName { Telemetry::Gauge::MemoryArriving, "fulmar_memory_arriving_bytes" },
+        EnumName { Telemetry::Gauge::MemoryRequests, "fulmar_memory_request_bytes" },
+        EnumName { Telemetry::Gauge::MemoryAnswers, "fulmar_memory_answer_bytes" },
+        EnumName { Telemetry::Gauge::MemoryUnsent, "fulmar_memory_unsent_bytes" },
+        EnumName { Telemetry::Gauge::MemoryKept, "fulmar_memory_kept_bytes" },
+        EnumName { Telemetry::Gauge::CallerConnections, "fulmar_caller_connections" },
+        EnumName { Telemetry::Gauge::ControlConnections, "fulmar_control_connections" },
     };
 };
 
@@ -101,6 +127,14 @@
         EnumName { Telemetry::Total::FirstArrivals, "fulmar_first_arrivals_total" },
         EnumName { Telemetry::Total::RetryArrivals, "fulmar_retry_arrivals_total" },
         EnumName { Telemetry::Total::CountedArrivals, "fulmar_counted_arrivals_total" },
+        EnumName { Telemetry::Total::HeadsTooLong, "fulmar_heads_too_long_total" },
+        EnumName { Telemetry::Total::HeadTimeouts, "fulmar_head_timeouts_total" },
+        EnumName { Telemetry::Total::IdleTimeouts, "fulmar_idle_timeouts_total" },
+        EnumName { Telemetry::Total::BodiesStalled, "fulmar_bodies_stalled_total" },
+        EnumName { Telemetry::Total::AnswersStalled, "fulmar_answers_stalled_total" },
+        EnumName { Telemetry::Total::MemoryRefusals, "fulmar_memory_refusals_total" },
+        EnumName { Telemetry::Total::MemorySheds, "fulmar_memory_sheds_total" },
+        EnumName { Telemetry::Total::ConnectionSheds, "fulmar_connection_sheds_total" },
     };
 };
 
--- a/Services/fulmard/ClientOutcome.cpp
+++ b/Services/fulmard/ClientOutcome.cpp
@@ -26,6 +26,8 @@
         StatusTranslation { ClientStatus::Malformed, AttemptResult::Malformed, Reason::AnswerMalformed },
         StatusTranslation { ClientStatus::TimedOut, AttemptResult::TimedOut, Reason::DeadlineExceeded },
         StatusTranslation { ClientStatus::Silent, AttemptResult::Stalled, Reason::NoProgress },
+        // It was this process that gave up, so it is no evidence against the peer.
+        StatusTranslation { ClientStatus::NoMemory, AttemptResult::Cancelled, Reason::Overloaded },
     };
 
     // https://www.rfc-editor.org/rfc/rfc9110#section-15
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -5,7 +5,9 @@
 #include <Services/fulmard/ClientOutcome.h>
 
 #include <algorithm>
+#include <array>
 #include <numeric>
+#include <sys/resource.h>
 
 namespace Fulmard {
 
@@ -28,6 +30,37 @@
     constexpr auto shortestDelivery = std::chrono::milliseconds(200);
     constexpr auto deliveryCheckInterval = std::chrono::milliseconds(10);
 
+    // A twentieth of the descriptors stays for each listener beside these, and the rest for peers, backend servers and the store.
+    constexpr double callersDescriptorShare = 0.5;
+    constexpr double controlDescriptorShare = 0.2;
+    constexpr double sideDescriptorShare = 0.05;
+    constexpr size_t fewestConnections = 8;
+    // Memory comes free as requests end.
+    constexpr Duration memoryRetryAfter = std::chrono::seconds(1);
+
+    uint64_t budgetBytes(const LimitSettings& limits)
+    {
+        return limits.memoryBytes > 0 ? limits.memoryBytes : Transport::budgetOfMachine(Transport::systemMemoryBytes());
+    }
+
+    uint64_t descriptorLimit(const LimitSettings& limits)
+    {
+        rlimit system {};
+        getrlimit(RLIMIT_NOFILE, &system);
+        return limits.descriptors > 0 ? std::min<uint64_t>(limits.descriptors, system.rlim_cur) : system.rlim_cur;
+    }
+
+    // Tells a peer that its run order wasn't run.
+    Transport::HttpResponse refusalOfRun(Reason reason, const std::string& step, const InstanceId& self)
+    {
+        Control::RunResult result;
+        result.outcome = Outcome::NotRun;
+        result.reason = reason;
+        result.step = step;
+        result.peer = self.value();
+        return { statusOf(Outcome::NotRun, reason), { { "content-type", "text/plain; charset=utf-8" }, { sidecarHeader, Control::encodeRunResult(result) } }, std::string(nameOf(reason)) + "\n" };
+    }
+
     Transport::HttpResponse plainResponse(uint16_t status, const std::string& text)
     {
         return { status, { { "content-type", "text/plain; charset=utf-8" } }, text + "\n" };
@@ -49,42 +82,95 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_observability(m_options.settings, m_options.observability)
+    , m_memory(std::make_shared<Transport::MemoryBudget>(budgetBytes(m_options.settings.limits)))
     , m_callersServer(loop, callersOptions())
     , m_controlServer(loop, controlOptions())
-    , m_client(loop)
+    , m_client(loop, { .memory = m_memory })
     , m_store(m_options.platform.openStore(loop))
     , m_channel(m_options.settings.fleetKey, m_options.settings.instance, m_options.start, m_controlServer.endpoint())
     , m_orders(m_options.settings.fleetKey, m_options.settings.instance, m_options.start, m_controlServer.endpoint())
     , m_reader(m_options.randomSeed, m_options.settings.edge)
-    , m_sidecarCalls(m_client, m_observability, m_options.settings.instance, m_options.settings.limits, m_options.settings.edge, [this](Decision::Input input) { m_driver.handle(std::move(input)); })
+    , m_sidecarCalls(m_client, m_observability, m_options.settings.instance, m_options.settings.limits, m_options.settings.edge, m_memory, [this](Decision::Input input) { m_driver.handle(std::move(input)); })
     , m_ingressCalls(ingressParties())
     , m_driver(loop, nodeOptions(), [this](const Decision::Effect& effect) { carryOut(effect); })
     , m_operatorApi(m_options.settings.operatorKey, m_driver, m_observability.journal(), [this] { return m_loop.now(); })
 {
+    m_state = &node().state();
     openSideServers();
 }
 
-Transport::HttpServerOptions Daemon::callersOptions()
+Transport::HttpServerOptions Daemon::serverOptions(const Endpoint& listen, double descriptorShare)
 {
     Transport::HttpServerOptions options;
-    options.listen = m_options.settings.callers;
+    options.listen = listen;
+    options.memory = m_memory;
+    options.maximumConnections = std::max(fewestConnections, static_cast<size_t>(descriptorShare * static_cast<double>(descriptorLimit(m_options.settings.limits))));
+    options.accountHeader = CallerHeader::account;
+    options.onConnectionEnd = [this, listen](const Transport::ConnectionEnd& end) { logConnectionEnd(listen, end); };
+    return options;
+}
+
+// The published table's limits, or those of the settings.
+Transport::ServerLimits Daemon::limitsForCallers() const
+{
+    Transport::ServerLimits limits;
+    limits.bodyBytes = m_options.settings.limits.requestBodyBytes;
+    const auto* table = m_state ? m_state->routes().table() : nullptr;
+    if (!table)
+        return limits;
+    limits.headBytes = table->limits.headerBytes;
+    limits.bodyBytes = table->limits.bodyBytes;
+    limits.headTimeout = table->limits.headerTimeout;
+    limits.idleTimeout = table->limits.idleTimeout;
+    return limits;
+}
+
+void Daemon::logConnectionEnd(const Endpoint& listener, const Transport::ConnectionEnd& end)
+{
+    bool isRoutine = end.reason == Transport::ConnectionEndReason::IdleTimeout;
+    Telemetry::LogRecord record { isRoutine ? Telemetry::LogLevel::Debug : Telemetry::LogLevel::Warn, "connection-ended", {} };
+    record.fields = {
+        { "reason", std::string(nameOf(end.reason)) },
+        { "phase", std::string(nameOf(end.phase)) },
+        { "peer", end.address },
+        { "account", end.account },
+        { "bytes", std::to_string(end.heldBytes) },
+        { "listener", listener.toString() },
+        { "memoryHeld", std::to_string(m_memory->held()) },
+    };
+    m_observability.log().write(m_loop.now(), std::move(record));
+}
+
+Transport::HttpServerOptions Daemon::callersOptions()
+{
+    auto options = serverOptions(m_options.settings.callers, callersDescriptorShare);
     options.maximumBodyBytes = m_options.settings.limits.requestBodyBytes;
+    options.limits = [this] { return limitsForCallers(); };
     options.onRequest = [this](Transport::ServerRequestId id, Transport::HttpRequest request) { m_ingressCalls.arrive(id, std::move(request)); };
     options.onRequestGone = [this](Transport::ServerRequestId id) { m_ingressCalls.callerGone(id); };
     options.onBodyTooLarge = [this] {
-        auto limit = std::to_string(m_options.settings.limits.requestBodyBytes) + " bytes are allowed";
+        auto limit = std::to_string(limitsForCallers().bodyBytes) + " bytes are allowed";
         return makeProblemResponse({ Outcome::NotRun, Reason::BodyTooLarge, "read-request", limit, Duration::zero(), "" }, m_options.settings.edge.statuses);
     };
+    options.onNoMemory = [this] {
+        return makeProblemResponse({ Outcome::NotRun, Reason::Overloaded, "read-request", "there is no memory for the body", memoryRetryAfter, "" }, m_options.settings.edge.statuses);
+    };
     return options;
 }
 
 Transport::HttpServerOptions Daemon::controlOptions()
 {
-    Transport::HttpServerOptions options;
-    options.listen = m_options.settings.control;
+    auto options = serverOptions(m_options.settings.control, controlDescriptorShare);
     options.maximumBodyBytes = std::max<uint64_t>(m_options.settings.limits.requestBodyBytes, Control::maximumMessageBytes);
     options.onRequest = [this](Transport::ServerRequestId id, Transport::HttpRequest request) { handleControlRequest(id, std::move(request)); };
     options.onRequestGone = [this](Transport::ServerRequestId id) { handleControlGone(id); };
+    // Peers forward what their callers may send. They take care of idle connections and timeouts themselves.
+    options.limits = [this] {
+        Transport::ServerLimits limits;
+        limits.bodyBytes = std::max<uint64_t>(limitsForCallers().bodyBytes, Control::maximumMessageBytes);
+        return limits;
+    };
+    options.onNoMemory = [this] { return refusalOfRun(Reason::Overloaded, "read-request", m_options.settings.instance); };
     return options;
 }
 
@@ -94,8 +180,7 @@
         if (!endpoint)
             continue;
         auto index = m_sideServers.size();
-        Transport::HttpServerOptions options;
-        options.listen = *endpoint;
+        auto options = serverOptions(*endpoint, sideDescriptorShare);
         options.onRequest = [this, index](Transport::ServerRequestId id, const Transport::HttpRequest& request) {
             m_sideServers[index]->respond(id, answerSide(request));
         };
@@ -203,12 +288,7 @@
         if (m_sidecarCalls.isInFlight(call))
             m_remoteRuns.emplace(id, call);
     } catch (const Control::ControlError& error) {
-        SidecarReply refusal;
-        refusal.result.outcome = Outcome::NotRun;
-        refusal.result.reason = Reason::BadRequest;
-        refusal.result.step = error.step();
-        refusal.result.peer = m_options.settings.instance.value();
-        respondRun(id, std::move(refusal));
+        m_controlServer.respond(id, refusalOfRun(Reason::BadRequest, error.step(), m_options.settings.instance));
     }
 }
 
@@ -301,6 +381,41 @@
     m_controlServer.respond(id, m_operatorApi.handle(request, std::chrono::duration_cast<std::chrono::seconds>(now).count()));
 }
 
+void Daemon::setMemoryMetrics()
+{
+    using Telemetry::Gauge;
+    using Telemetry::Total;
+    using Transport::ConnectionEndReason;
+    using Transport::MemoryKind;
+    auto& metrics = m_observability.metrics();
+    auto set = [&metrics](Gauge gauge, uint64_t value) { metrics.set(gauge, static_cast<double>(value)); };
+    set(Gauge::MemoryLimit, m_memory->total());
+    set(Gauge::MemoryArriving, m_memory->held(MemoryKind::Arriving));
+    set(Gauge::MemoryRequests, m_memory->held(MemoryKind::Requests));
+    set(Gauge::MemoryAnswers, m_memory->held(MemoryKind::Answers));
+    set(Gauge::MemoryUnsent, m_memory->held(MemoryKind::Unsent));
+    set(Gauge::MemoryKept, m_memory->held(MemoryKind::Kept));
+    set(Gauge::CallerConnections, m_callersServer.openConnections());
+    set(Gauge::ControlConnections, m_controlServer.openConnections());
+
+    struct TotalOfReason {
+        ConnectionEndReason reason;
+        Total total;
+    };
+    constexpr std::array totals {
+        TotalOfReason { ConnectionEndReason::HeadTooLong, Total::HeadsTooLong },
+        TotalOfReason { ConnectionEndReason::HeadTimeout, Total::HeadTimeouts },
+        TotalOfReason { ConnectionEndReason::IdleTimeout, Total::IdleTimeouts },
+        TotalOfReason { ConnectionEndReason::BodyStalled, Total::BodiesStalled },
+        TotalOfReason { ConnectionEndReason::AnswerStalled, Total::AnswersStalled },
+        TotalOfReason { ConnectionEndReason::MemoryRefused, Total::MemoryRefusals },
+        TotalOfReason { ConnectionEndReason::MemoryShed, Total::MemorySheds },
+        TotalOfReason { ConnectionEndReason::ConnectionShed, Total::ConnectionSheds },
+    };
+    for (const auto& [reason, total] : totals)
+        metrics.set(total, m_callersServer.ends(reason) + m_controlServer.ends(reason));
+}
+
 std::string Daemon::metricsText()
 {
     using Telemetry::Gauge;
@@ -322,6 +437,8 @@
     metrics.set(Gauge::RoutesNewestVersionHeard, static_cast<double>(state.routes().newestHeard().value()));
     metrics.set(Gauge::RoutesWatchSeconds, std::chrono::duration<double>(state.routes().watchAge(m_loop.now())).count());
 
+    setMemoryMetrics();
+
     const auto& channel = m_channel.counters();
     metrics.set(Total::ControlMessagesSent, channel.messagesSent);
     metrics.set(Total::ControlBytesSent, channel.bytesSent);
--- a/Services/fulmard/Daemon.h
+++ b/Services/fulmard/Daemon.h
@@ -70,6 +70,11 @@
 
 private:
     Transport::HttpServerOptions callersOptions();
+    // What all servers have in common. They may have that share of the process's descriptors.
+    Transport::HttpServerOptions serverOptions(const Endpoint& listen, double descriptorShare);
+    Transport::ServerLimits limitsForCallers() const;
+    void logConnectionEnd(const Endpoint& listener, const Transport::ConnectionEnd&);
+    void setMemoryMetrics();
     Transport::HttpServerOptions controlOptions();
     void openSideServers();
     Decision::NodeOptions nodeOptions() const;
@@ -103,6 +108,7 @@
     Transport::EventLoop& m_loop;
     DaemonOptions m_options;
     Observability m_observability;
+    std::shared_ptr<Transport::MemoryBudget> m_memory;
     Transport::HttpServer m_callersServer;
     Transport::HttpServer m_controlServer;
     // Listeners beside the control endpoint for those who may not reach it.
@@ -116,6 +122,8 @@
     IngressCalls m_ingressCalls;
     std::unordered_map<Transport::ServerRequestId, SidecarCallId> m_remoteRuns;
     NodeDriver m_driver;
+    // Empty until the core is there.
+    const Decision::NodeState* m_state { nullptr };
     Instant m_leaveRequestedAt;
     OperatorApi m_operatorApi;
 };
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -50,6 +50,7 @@
     {
         AttemptReport report;
         report.result = attemptResultOf(result.status);
+        report.reason = result.status == Transport::ClientStatus::NoMemory ? Reason::Overloaded : Reason::None;
         if (result.status == Transport::ClientStatus::Answered) {
             try {
                 auto header = Transport::findHeader(result.response.headers, "fulmar-sidecar");
@@ -178,7 +179,8 @@
 {
     Transport::ClientRequest request;
     request.to = effect.sidecarControl;
-    request.request = *call.request;
+    request.request = Transport::withoutBody(*call.request);
+    request.bodyOf = call.request;
     if (m_parties.observability.tracer().mustPropagate(*attempt.span))
         Transport::setHeader(request.request.headers, "traceparent", Telemetry::JsonLinesTracer::traceparentOf(*attempt.span));
     request.request.headers.push_back({ "fulmar-run", m_parties.orders.seal(order) });
--- a/Services/fulmard/SidecarCalls.cpp
+++ b/Services/fulmard/SidecarCalls.cpp
@@ -15,12 +15,13 @@
 
 }
 
-SidecarCalls::SidecarCalls(Transport::HttpClient& client, Observability& observability, InstanceId self, const LimitSettings& limits, EdgeSettings edge, InputSink sink)
+SidecarCalls::SidecarCalls(Transport::HttpClient& client, Observability& observability, InstanceId self, const LimitSettings& limits, EdgeSettings edge, std::shared_ptr<Transport::MemoryBudget> memory, InputSink sink)
     : m_client(client)
     , m_observability(observability)
     , m_self(std::move(self))
     , m_maximumAnswerBytes(limits.answerBodyBytes)
     , m_edge(std::move(edge))
+    , m_memory(std::move(memory))
     , m_sink(std::move(sink))
 {
 }
@@ -75,7 +76,7 @@
 
 Transport::HttpRequest SidecarCalls::makeBackendRequest(const Call& call, const Decision::RunCall& effect) const
 {
-    auto request = *call.request;
+    auto request = Transport::withoutBody(*call.request);
     Transport::removeHopByHopHeaders(request.headers);
     std::erase_if(request.headers, [](const Transport::HttpHeader& header) { return header.name == "fulmar-run" || header.name == "content-length"; });
     auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(effect.remaining).count();
@@ -103,6 +104,7 @@
     Transport::ClientRequest request;
     request.to = effect.endpoint;
     request.request = makeBackendRequest(call, effect);
+    request.bodyOf = call.request;
     request.deadline = effect.remaining;
     request.progressTimeout = effect.progressTimeout;
     request.needsProvenConnection = effect.needsProvenConnection;
@@ -163,6 +165,7 @@
         answer.result.peer = m_self.value();
     } else {
         answer.response = kept->second;
+        answer.response.reservation = Transport::reserveHeld(m_memory, Transport::MemoryKind::Answers, answer.response.body.size());
     }
     reply(effect.call, std::move(answer));
 }
@@ -204,8 +207,15 @@
 void SidecarCalls::carryOut(const Decision::KeepAnswer& effect)
 {
     auto call = m_calls.find(effect.call);
-    if (call != m_calls.end())
-        m_keptAnswers.insert_or_assign(effect.call, call->second.answer);
+    if (call == m_calls.end())
+        return;
+    // Without room it isn't kept, and whoever asks for it is told that the outcome is unknown.
+    auto reservation = Transport::tryReserve(m_memory, Transport::MemoryKind::Kept, call->second.answer.body.size());
+    if (!reservation)
+        return;
+    auto& kept = m_keptAnswers[effect.call];
+    kept = call->second.answer;
+    kept.reservation = std::move(reservation);
 }
 
 void SidecarCalls::carryOut(const Decision::ForgetAnswer& effect)
--- a/Services/fulmard/SidecarCalls.h
+++ b/Services/fulmard/SidecarCalls.h
@@ -20,7 +20,7 @@
 // The requests that this process handles for its backend servers: carries them there and back for the core.
 class SidecarCalls {
 public:
-    SidecarCalls(Transport::HttpClient&, Observability&, InstanceId self, const LimitSettings&, EdgeSettings, InputSink);
+    SidecarCalls(Transport::HttpClient&, Observability&, InstanceId self, const LimitSettings&, EdgeSettings, std::shared_ptr<Transport::MemoryBudget>, InputSink);
 
     // Takes a request from an ingress, which may be this process, with the traceparent of its attempt. The handler is
     // called once, unless cancelled. Gives the name of the request, which is that of an earlier one if this is the same.
@@ -65,6 +65,7 @@
     InstanceId m_self;
     uint64_t m_maximumAnswerBytes;
     EdgeSettings m_edge;
+    std::shared_ptr<Transport::MemoryBudget> m_memory;
     InputSink m_sink;
     SidecarCallId m_lastId;
     std::unordered_map<SidecarCallId, Call> m_calls;
--- a/Services/fulmard/main.cpp
+++ b/Services/fulmard/main.cpp
@@ -14,6 +14,7 @@
 #include <cxxopts.hpp>
 #include <functional>
 #include <iostream>
+#include <malloc.h>
 #include <random>
 #include <unistd.h>
 
@@ -79,9 +80,20 @@
 #endif
 }
 
+// By default the allocator raises the size from which on it maps blocks one by one whenever such a block is freed. The
+// buffers of long bodies would then come from its heap, which doesn't give memory back while anything lies above it.
+void keepLongBuffersApart()
+{
+    constexpr int longBuffer = 128 << 10;
+    constexpr int keptAtTop = 1 << 20;
+    mallopt(M_MMAP_THRESHOLD, longBuffer);
+    mallopt(M_TRIM_THRESHOLD, keptAtTop);
+}
+
 // The reader gives the settings anew, for a reload.
 void runDaemon(const std::function<Model::Settings()>& readSettings)
 {
+    keepLongBuffersApart();
     auto settings = readSettings();
     Transport::EventLoop loop;
     Fulmard::DaemonOptions options;
