--- a/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.cpp
@@ -207,7 +207,7 @@
 
 void RouteConfiguration::receivePart(Turn& turn, const InstanceId& from, const RouteTablePart& part)
 {
-    // 75,000 tenants with two keys each fit into some 150 parts.
+    // 75,000 tenants with one key each take about 200 parts.
     constexpr uint32_t maximumParts = 1000;
     if (part.table.version <= version() || part.count == 0 || part.count > maximumParts || part.number >= part.count)
         return;
