--- a/Libraries/LibDecision/Admission/AdmittedCall.h
+++ b/Libraries/LibDecision/Admission/AdmittedCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/Admission/AccountTurns.h>
 #include <LibDecision/Admission/CrashWatch.h>
 #include <LibDecision/Admission/PriorityQueue.h>
 #include <LibDecision/Attempt.h>
@@ -58,6 +59,8 @@
 struct BackendOccupancy {
     Incarnation incarnation;
     PriorityQueue queue;
+    // Used only while accounts take turns.
+    AccountTurns turns;
     // Slots held by requests, across incarnations: a backend server that announced a new incarnation may still be
     // working on requests that it received before.
     uint32_t running { 0 };
--- a/Libraries/LibDecision/Admission/FairQueue.cpp
+++ b/Libraries/LibDecision/Admission/FairQueue.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Decision {
 
-FairQueueOffer FairQueue::offer(SidecarCallId call, const AccountId& account, double usage, double cost, const FairQueueLimits& limits)
+FairQueueOffer FairQueue::offer(SidecarCallId call, const AccountId& account, double usage, double cost, const FairQueueLimits& limits, uint64_t turn)
 {
     FairQueueOffer offer;
     if (limits.length == 0) {
@@ -27,6 +28,7 @@
     auto& flow = m_flows[account];
     removeFromIndexes(account, flow);
     auto arrival = ++m_lastArrival;
+    flow.turn = turn;
     flow.usage = usage;
     flow.cost = cost;
     flow.calls.emplace(arrival, call);
@@ -57,24 +59,35 @@
     m_positions.erase(position);
 }
 
-void FairQueue::setUsage(const AccountId& account, double usage)
+void FairQueue::setUsage(const AccountId& account, double usage, uint64_t turn)
 {
     auto flow = m_flows.find(account);
     if (flow == m_flows.end())
         return;
     removeFromIndexes(account, flow->second);
+    flow->second.turn = turn;
     flow->second.usage = usage;
     addToIndexes(account, flow->second);
 }
 
+size_t FairQueue::countAheadInTurns(const AccountId& account) const
+{
+    auto own = m_flows.find(account);
+    auto waiting = own == m_flows.end() ? 0 : own->second.calls.size();
+    // Until the new request's turn, each other account has as many turns as this one, and perhaps one more.
+    return std::accumulate(m_flows.begin(), m_flows.end(), waiting, [&](size_t count, const auto& flow) {
+        return flow.first == account ? count : count + std::min(flow.second.calls.size(), waiting + 1);
+    });
+}
+
 FairQueue::Rank FairQueue::serviceRank(const AccountId& account, const Flow& flow)
 {
-    return { flow.usage, flow.calls.begin()->first, account };
+    return { flow.turn, flow.usage, flow.calls.begin()->first, account };
 }
 
 FairQueue::Rank FairQueue::projectedUsageRank(const AccountId& account, const Flow& flow)
 {
-    return { flow.projectedUsage(), flow.calls.rbegin()->first, account };
+    return { 0, flow.projectedUsage(), flow.calls.rbegin()->first, account };
 }
 
 void FairQueue::addToIndexes(const AccountId& account, const Flow& flow)
--- a/Libraries/LibDecision/Admission/PriorityQueue.cpp
+++ b/Libraries/LibDecision/Admission/PriorityQueue.cpp
@@ -4,7 +4,7 @@
 
 namespace Decision {
 
-FairQueueOffer PriorityQueue::offer(SidecarCallId call, uint32_t priority, const AccountId& account, double usage, double cost, const FairQueueLimits& limits)
+FairQueueOffer PriorityQueue::offer(SidecarCallId call, uint32_t priority, const AccountId& account, double usage, double cost, const FairQueueLimits& limits, uint64_t turn)
 {
     std::optional<SidecarCallId> displaced;
     bool isFull = !isEmpty() && size() >= limits.length;
@@ -15,7 +15,7 @@
     // The queue of this priority is full if all priorities together are.
     auto& queue = m_queues[priority];
     auto others = size() - queue.size();
-    auto offer = queue.offer(call, account, usage, cost, { limits.length - std::min(limits.length, others), limits.maximumAccountShare });
+    auto offer = queue.offer(call, account, usage, cost, { limits.length - std::min(limits.length, others), limits.maximumAccountShare }, turn);
     if (offer.displaced)
         m_priorities.erase(*offer.displaced);
     if (offer.isAccepted)
@@ -52,10 +52,19 @@
     return count;
 }
 
-void PriorityQueue::setUsage(const AccountId& account, double usage)
+size_t PriorityQueue::countAheadInTurns(uint32_t priority, const AccountId& account) const
+{
+    size_t count = 0;
+    for (const auto& [other, queue] : m_queues)
+        count += other < priority ? queue.size() : other == priority ? queue.countAheadInTurns(account)
+                                                                     : 0;
+    return count;
+}
+
+void PriorityQueue::setUsage(const AccountId& account, double usage, uint64_t turn)
 {
     for (auto& [priority, queue] : m_queues)
-        queue.setUsage(account, usage);
+        queue.setUsage(account, usage, turn);
 }
 
 }
--- a/Libraries/LibDecision/Admission/PriorityQueue.h
+++ b/Libraries/LibDecision/Admission/PriorityQueue.h
@@ -14,18 +14,20 @@
 // matter most, and the others learn at once that they have not run.
 class PriorityQueue {
 public:
-    // Priority 0 is the most urgent. For usage and cost see FairQueue.
-    FairQueueOffer offer(SidecarCallId, uint32_t priority, const AccountId&, double usage, double cost, const FairQueueLimits&);
+    // Priority 0 is the most urgent. For usage, cost and turn see FairQueue.
+    FairQueueOffer offer(SidecarCallId, uint32_t priority, const AccountId&, double usage, double cost, const FairQueueLimits&, uint64_t turn = 0);
     // Returns the request to be served next, or nullopt if none waits.
     std::optional<SidecarCallId> front() const;
     // Does nothing if the request isn't in the queue.
     void remove(SidecarCallId);
-    // Updates the account's recent usage in all priorities.
-    void setUsage(const AccountId&, double usage);
+    // Updates the account's recent usage and its turn in all priorities.
+    void setUsage(const AccountId&, double usage, uint64_t turn = 0);
 
     size_t size() const { return m_priorities.size(); }
     // Number of waiting requests that would be served before a new one of this priority.
     size_t countAhead(uint32_t priority) const;
+    // The same if the accounts of one priority take turns.
+    size_t countAheadInTurns(uint32_t priority, const AccountId&) const;
     bool isEmpty() const { return m_priorities.empty(); }
 
 private:
--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -76,6 +76,10 @@
     // Sets the function that returns how many backend servers a service has; the default is 1.
     void useServiceSize(std::function<size_t(const ServiceName&)> serviceSize) { m_serviceSize = std::move(serviceSize); }
 
+    // Sets whether the accounts of waiting requests take turns, because they are tenants. Otherwise the account that used the
+    // backend servers least lately goes first.
+    void takeTurns(bool takesTurns) { m_takesTurns = takesTurns; }
+
     // Sets the instant at which the process started.
     void start(Instant now) { m_startedAt = now; }
 
@@ -148,6 +152,11 @@
 
     // Longest time that the request may wait for a slot here.
     Duration longestWait(const AdmittedCall&) const;
+    // Number of waiting requests that would be served before this one if it joins the queue now.
+    size_t countAhead(const AdmittedCall&) const;
+    FairQueueOffer offerToQueue(SidecarCallId, const AdmittedCall&, Instant now);
+    // Records that the request takes a slot, for the order in which accounts are served.
+    void recordService(const AdmittedCall&, Instant now);
     // Time until a slot becomes free for the request if it joins the queue now.
     Duration expectedWaitForSlot(const AdmittedCall&) const;
     // Time until the backend server's limit lets the request through if it joins the queue now.
@@ -239,6 +248,7 @@
     uint64_t m_ignoredInputs { 0 };
     ArrivalCounters m_arrivals;
     bool m_isLeaving { false };
+    bool m_takesTurns { false };
 };
 
 }
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -121,12 +121,16 @@
     auto waitReason = waitReasonFor(call, turn.now());
     if (!waitReason && !occupancy.queue.isEmpty())
         waitReason = Reason::BackendBusy;
-    if (!waitReason)
-        start(turn, arrival.call, call);
-    else if (arrival.isOnlyForFreeSlot)
+    if (waitReason && arrival.isOnlyForFreeSlot) {
         refuseInsteadOfQueueing(turn, arrival.call, call, *waitReason);
-    else
+        return;
+    }
+    if (m_takesTurns)
+        occupancy.turns.requested(call.request.account, turn.now());
+    if (waitReason)
         enqueue(turn, arrival.call, call);
+    else
+        start(turn, arrival.call, call);
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -538,7 +542,44 @@
 Duration SidecarAdmission<Gate, Observer>::waitForLimit(const AdmittedCall& admitted, Instant now) const
 {
     const auto* limit = limitOf(admitted.backend, admitted.incarnation);
-    return limit ? limit->waitFor(m_occupancies.at(admitted.backend).queue.countAhead(admitted.priority), now) : Duration::zero();
+    return limit ? limit->waitFor(countAhead(admitted), now) : Duration::zero();
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+size_t SidecarAdmission<Gate, Observer>::countAhead(const AdmittedCall& admitted) const
+{
+    const auto& queue = m_occupancies.at(admitted.backend).queue;
+    return m_takesTurns ? queue.countAheadInTurns(admitted.priority, admitted.request.account) : queue.countAhead(admitted.priority);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+FairQueueOffer SidecarAdmission<Gate, Observer>::offerToQueue(SidecarCallId call, const AdmittedCall& admitted, Instant now)
+{
+    const auto& profile = profileOf(admitted.backend);
+    const auto& account = admitted.request.account;
+    FairQueueLimits limits { profile.capacity.queueLength, profile.fairness.maximumAccountShare };
+    auto& occupancy = m_occupancies.at(admitted.backend);
+    // Among tenants, the one with the most waiting requests is the heaviest: recent usage would push out for a while those
+    // that usually send more than others.
+    if (m_takesTurns)
+        return occupancy.queue.offer(call, admitted.priority, account, 0, 1, limits, occupancy.turns.turnOf(account, now));
+    auto usage = m_usage.estimate(admitted.request.service, account, now);
+    auto cost = static_cast<double>(std::max<Duration>(occupancy.serviceTime, minimumCost).count());
+    return occupancy.queue.offer(call, admitted.priority, account, usage, cost, limits);
+}
+
+template <ClaimGate Gate, RunObserver Observer>
+void SidecarAdmission<Gate, Observer>::recordService(const AdmittedCall& admitted, Instant now)
+{
+    const auto& account = admitted.request.account;
+    auto& occupancy = m_occupancies.at(admitted.backend);
+    m_usage.charge(admitted.request.service, account, admitted.charged, now);
+    if (!m_takesTurns) {
+        occupancy.queue.setUsage(account, m_usage.estimate(admitted.request.service, account, now));
+        return;
+    }
+    occupancy.turns.served(account, now);
+    occupancy.queue.setUsage(account, 0, occupancy.turns.turnOf(account, now));
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -546,7 +587,7 @@
 {
     const auto& occupancy = m_occupancies.at(admitted.backend);
     auto slots = std::max<Duration::rep>(1, m_backends.find(admitted.backend)->announcement.slots);
-    return occupancy.serviceTime * static_cast<Duration::rep>(occupancy.queue.countAhead(admitted.priority)) / slots;
+    return occupancy.serviceTime * static_cast<Duration::rep>(countAhead(admitted)) / slots;
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -562,9 +603,7 @@
         end(turn, call, { Outcome::NotRun, Reason::BackendLimited }, "queue");
         return;
     }
-    auto usage = m_usage.estimate(admitted.request.service, admitted.request.account, turn.now());
-    auto cost = static_cast<double>(std::max<Duration>(occupancy.serviceTime, minimumCost).count());
-    auto offer = occupancy.queue.offer(call, admitted.priority, admitted.request.account, usage, cost, { profile.capacity.queueLength, profile.fairness.maximumAccountShare });
+    auto offer = offerToQueue(call, admitted, turn.now());
     if (offer.displaced)
         end(turn, *offer.displaced, { Outcome::NotRun, Reason::FairShareExceeded }, "queue");
     if (!offer.isAccepted) {
@@ -587,8 +626,7 @@
         occupancy.isolatedCall = call;
     ++occupancy.running;
     admitted.charged = std::max<Duration>(occupancy.serviceTime, minimumCost);
-    m_usage.charge(admitted.request.service, admitted.request.account, admitted.charged, turn.now());
-    occupancy.queue.setUsage(admitted.request.account, m_usage.estimate(admitted.request.service, admitted.request.account, turn.now()));
+    recordService(admitted, turn.now());
     if (!admitted.needsClaim()) {
         run(turn, call, admitted);
         return;
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -1,5 +1,7 @@
 #include <LibDecision/NodeState.h>
 
+#include <LibDecision/Admission/RequestPriority.h>
+
 #include <algorithm>
 #include <initializer_list>
 #include <iterator>
@@ -175,12 +177,11 @@
 
 uint32_t NodeState::priorityOf(const Route& route, const RequestInfo& request) const
 {
-    // A running request holds a slot while it waits for the calls that it makes, and its work is lost if they fail. So
-    // they go one priority before it.
-    auto priority = route.priority + 1;
     if (!request.parent)
-        return priority;
-    return std::max(1U, m_admission.priorityOfRunning(*request.parent).value_or(priority)) - 1;
+        return queuePriority(route.priority, std::nullopt);
+    // The parent may run unknown to this process. Then it is taken for one of the same route.
+    auto parentPriority = m_admission.priorityOfRunning(*request.parent);
+    return queuePriority(route.priority, parentPriority.value_or(queuePriority(route.priority, std::nullopt)));
 }
 
 void NodeState::receive(Turn& turn, const CallerDisconnected& gone) { m_calls.callerGone(turn, gone.call); }
@@ -192,7 +193,12 @@
     m_calls.attemptFinished(turn, finished);
 }
 
-void NodeState::receive(Turn& turn, const SidecarCallArrived& arrived) { m_admission.arrive(turn, arrived); }
+void NodeState::receive(Turn& turn, const SidecarCallArrived& arrived)
+{
+    m_admission.takeTurns(m_routes.table() && !m_routes.table()->tenants.empty());
+    m_admission.arrive(turn, arrived);
+}
+
 void NodeState::receive(Turn& turn, const SidecarCallCancelled& cancelled) { m_admission.cancel(turn, cancelled.call); }
 void NodeState::receive(Turn& turn, const RunFinished& finished) { m_admission.runFinished(turn, finished.call, finished.report); }
 void NodeState::receive(Turn& turn, const ProbeFinished& finished)
--- a/Tests/LibDecision/Admission/OverloadModel.h
+++ b/Tests/LibDecision/Admission/OverloadModel.h
@@ -37,10 +37,11 @@
     // Requests per second that the backend server can serve.
     static constexpr double capacity() { return slots / std::chrono::duration<double>(serviceTime).count(); }
 
-    OverloadModel(Profile profile, uint64_t seed)
+    OverloadModel(Profile profile, uint64_t seed, bool takesTurns = false)
         : m_rig(std::move(profile))
         , m_random(seed)
     {
+        m_rig.admission.takeTurns(takesTurns);
         m_rig.announce("a", 1, slots);
     }
 
