--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -213,12 +213,12 @@
 
 uint32_t NodeState::priorityOf(const Route& route, const RequestInfo& request, uint32_t tenantPriority) const
 {
-    // A running request holds a slot while it waits for the calls that it makes, and its work is lost if they fail. So
-    // they go one priority before it.
-    auto priority = (m_routes.tenants().hasTenants() ? combinedPriority(tenantPriority, route.priority) : route.priority) + 1;
+    auto priority = m_routes.tenants().hasTenants() ? combinedPriority(tenantPriority, route.priority) : route.priority;
     if (!request.parent)
-        return priority;
-    return std::max(1U, m_admission.priorityOfRunning(*request.parent).value_or(priority)) - 1;
+        return queuePriority(priority, std::nullopt);
+    // The parent may run unknown to this process. Then it is taken for one of the same route.
+    auto parentPriority = m_admission.priorityOfRunning(*request.parent);
+    return queuePriority(route.priority, parentPriority.value_or(queuePriority(priority, std::nullopt)));
 }
 
 void NodeState::receive(Turn& turn, const CallerDisconnected& gone) { m_calls.callerGone(turn, gone.call); }
@@ -230,7 +230,12 @@
     m_calls.attemptFinished(turn, finished);
 }
 
-void NodeState::receive(Turn& turn, const SidecarCallArrived& arrived) { m_admission.arrive(turn, arrived); }
+void NodeState::receive(Turn& turn, const SidecarCallArrived& arrived)
+{
+    m_admission.takeTurns(m_routes.table() && !m_routes.table()->tenants.empty());
+    m_admission.arrive(turn, arrived);
+}
+
 void NodeState::receive(Turn& turn, const SidecarCallCancelled& cancelled) { m_admission.cancel(turn, cancelled.call); }
 void NodeState::receive(Turn& turn, const RunFinished& finished) { m_admission.runFinished(turn, finished.call, finished.report); }
 void NodeState::receive(Turn& turn, const ProbeFinished& finished)
