LibTransport: Serve a body of 64 MB on a machine of 160 MB

A single body of 64 MB made a process with an account of 80 MiB, that of a machine of 160 MB, reach 151 MB: the request's fingerprint was computed over a copy of the body. It is computed in pieces now, with the same result, and two tests of TestCrowd hold it: such a body is served, and a body that the machine can't hold is refused with 503 at once.

Requests whose head or body isn't read whole are told 408, 431 or 503 before their connection is closed, so that they know that they weren't run. Heads over the limit are refused also if they come whole. Connections whose bytes lie unread, as after a pause of this process, count as neither idle nor stalled.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace Transport {
@@ -36,6 +38,31 @@
     return { input->bytes, input->size };
 }
 
+static bool hasUnreadBytes(const ServerConnection& connection)
+{
+    int bytes = 0;
+    return ioctl(h2o_socket_get_fd(connection.socket), FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
+static std::string_view statusLineOf(ConnectionEndReason reason)
+{
+    switch (reason) {
+    case ConnectionEndReason::HeadTooLong:
+        return "431 Request Header Fields Too Large";
+    case ConnectionEndReason::HeadTimeout:
+    case ConnectionEndReason::BodyStalled:
+        return "408 Request Timeout";
+    case ConnectionEndReason::MemoryRefused:
+    case ConnectionEndReason::MemoryShed:
+        return "503 Service Unavailable";
+    case ConnectionEndReason::IdleTimeout:
+    case ConnectionEndReason::AnswerStalled:
+    case ConnectionEndReason::ConnectionShed:
+        return {};
+    }
+    return {};
+}
+
 ConnectionMonitor::ConnectionMonitor(HttpServer::Implementation& server)
     : m_server(server)
 {
@@ -118,9 +145,10 @@
     connection.state.lastProgress = m_server.loop.now();
     connection.state.movedBytes += connection.socket->bytes_read;
     auto verdict = judge(connection);
+    if (verdict != Verdict::Take)
+        updatePhase(connection);
     if (verdict == Verdict::Close) {
-        bool isTooLong = !connection.state.head && connection.socket->input->size > m_limits.headBytes;
-        end(connection, isTooLong ? ConnectionEndReason::HeadTooLong : ConnectionEndReason::MemoryRefused);
+        end(connection, isHeadTooLong(connection) ? ConnectionEndReason::HeadTooLong : ConnectionEndReason::MemoryRefused);
         return;
     }
     // Below a limit of 0 the library refuses whatever body comes in this call.
@@ -177,10 +205,10 @@
     auto size = connection.socket->input->size;
     state.head = findRequestHead(inputOf(connection), state.searchedBytes);
     state.searchedBytes = size;
-    if (!state.head) {
-        bool isTooLong = size > m_limits.headBytes;
-        return !isTooLong && state.held.resize(size) ? Verdict::Take : Verdict::Close;
-    }
+    if (isHeadTooLong(connection))
+        return Verdict::Close;
+    if (!state.head)
+        return state.held.resize(size) ? Verdict::Take : Verdict::Close;
     if (state.head->isChunked)
         return state.held.resize(growthFactor * size) ? Verdict::Take : Verdict::Refuse;
     auto bodyBytes = state.head->contentLength.value_or(0);
@@ -196,6 +224,12 @@
     return Verdict::Take;
 }
 
+bool ConnectionMonitor::isHeadTooLong(const ServerConnection& connection) const
+{
+    const auto& head = connection.state.head;
+    return (head ? head->bytes : connection.socket->input->size) > m_limits.headBytes;
+}
+
 ConnectionMonitor::Verdict ConnectionMonitor::judgeHttp2(ServerConnection& connection)
 {
     auto& state = connection.state;
@@ -287,6 +321,7 @@
     if (std::exchange(connection.state.isEnding, true))
         return;
     report(connection, reason);
+    refuseUnread(connection, reason);
     // An answer that is being written ends with an error on the loop's next round, and its memory with it.
     m_server.releaseUnsent(connection);
     shutdown(h2o_socket_get_fd(connection.socket), SHUT_RDWR);
@@ -295,6 +330,18 @@
         callLibrary(connection, h2o_socket_error_closed);
 }
 
+// Tells an HTTP/1 caller whose request wasn't read whole that it wasn't run. Best effort: it may not be reading.
+void ConnectionMonitor::refuseUnread(const ServerConnection& connection, ConnectionEndReason reason)
+{
+    const auto& state = connection.state;
+    bool isUnread = state.phase == ConnectionPhase::Head || state.phase == ConnectionPhase::Body;
+    auto line = statusLineOf(reason);
+    if (state.isHttp2 || !isUnread || line.empty())
+        return;
+    auto text = "HTTP/1.1 " + std::string(line) + "\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    send(h2o_socket_get_fd(connection.socket), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 void ConnectionMonitor::report(const ServerConnection& connection, ConnectionEndReason reason)
 {
     const auto& state = connection.state;
@@ -337,7 +384,9 @@
     std::vector<std::pair<uint64_t, ConnectionEndReason>> ends;
     for (const auto& [key, connection] : m_server.connections) {
         insertReader(*connection);
-        if (auto reason = overdue(*connection))
+        auto reason = overdue(*connection);
+        // After a pause of this process, what came meanwhile lies unread.
+        if (reason && !hasUnreadBytes(*connection))
             ends.emplace_back(key, *reason);
     }
     for (auto [key, reason] : ends) {
@@ -403,7 +452,7 @@
     for (const auto& [key, connection] : m_server.connections) {
         const auto& state = connection->state;
         bool isUnused = state.phase == ConnectionPhase::Idle || state.phase == ConnectionPhase::Head;
-        if (isUnused && !state.isEnding)
+        if (isUnused && !state.isEnding && !hasUnreadBytes(*connection))
             candidates.push_back({ m_connectionsByAddress[state.address], state.phaseSince, key });
     }
     auto end = candidates.begin() + static_cast<ptrdiff_t>(std::min(count, candidates.size()));
--- a/Libraries/LibTransport/ConnectionMonitor.h
+++ b/Libraries/LibTransport/ConnectionMonitor.h
@@ -85,6 +85,7 @@
     Verdict judge(ServerConnection&);
     Verdict judgeHead(ServerConnection&);
     Verdict judgeHttp2(ServerConnection&);
+    bool isHeadTooLong(const ServerConnection&) const;
     void callLibrary(ServerConnection&, const char* error);
     void refreshHeld(ServerConnection&);
     void insertReader(ServerConnection&);
@@ -92,6 +93,7 @@
     void updatePhase(ServerConnection&);
 
     void end(ServerConnection&, ConnectionEndReason);
+    static void refuseUnread(const ServerConnection&, ConnectionEndReason);
     void report(const ServerConnection&, ConnectionEndReason);
     void sweep();
     void noteAcknowledged(ServerConnection&);
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -29,6 +29,8 @@
 static constexpr int socketBufferBytes = 256 << 10;
 // A body is copied from the library's buffer in pieces, each of which is given back before the next.
 static constexpr size_t copiedPiece = 1u << 20;
+// Giving pages back costs more than keeping them for shorter bodies: 5 us for one of 10 KB.
+static constexpr size_t longBody = 64u << 10;
 static constexpr int http2Version = 0x200;
 static constexpr uint16_t contentTooLarge = 413;
 static constexpr uint16_t badRequest = 400;
@@ -263,7 +265,8 @@
     for (size_t offset = 0; offset < entity.len; offset += copiedPiece) {
         auto piece = std::min(copiedPiece, entity.len - offset);
         body.append(entity.base + offset, piece);
-        dropPages(entity.base + offset, piece);
+        if (entity.len >= longBody)
+            dropPages(entity.base + offset, piece);
     }
     return body;
 }
--- a/Services/fulmard/RequestReader.cpp
+++ b/Services/fulmard/RequestReader.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <memory>
 #include <xxhash.h>
 
 namespace Fulmard {
@@ -125,8 +126,12 @@
         identity += part;
         identity += '\0';
     }
-    identity += request.body;
-    auto hash = XXH3_128bits(identity.data(), identity.size());
+    // A long body isn't copied for it.
+    std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(), XXH3_freeState);
+    XXH3_128bits_reset(state.get());
+    XXH3_128bits_update(state.get(), identity.data(), identity.size());
+    XXH3_128bits_update(state.get(), request.body.data(), request.body.size());
+    auto hash = XXH3_128bits_digest(state.get());
     return { hash.high64, hash.low64 };
 }
 
--- a/Tests/LibTransport/BenchHop.cpp
+++ b/Tests/LibTransport/BenchHop.cpp
@@ -44,6 +44,7 @@
     {
         HttpServerOptions options;
         options.listen = { "127.0.0.1", 0 };
+        options.memory = m_memory;
         options.onRequest = [this](ServerRequestId id, HttpRequest request) { handle(id, std::move(request)); };
         m_server = std::make_unique<HttpServer>(m_loop, std::move(options));
         m_latencies.reserve(requests);
@@ -131,7 +132,8 @@
     size_t m_failures { 0 };
     std::vector<Duration::rep> m_latencies;
     EventLoop m_loop;
-    HttpClient m_client { m_loop };
+    std::shared_ptr<MemoryBudget> m_memory { std::make_shared<MemoryBudget>(uint64_t(1) << 30) };
+    HttpClient m_client { m_loop, { .memory = m_memory } };
     std::unique_ptr<HttpServer> m_server;
 };
 
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -150,7 +150,11 @@
     runUntil([&, until = loop.now() + 1100ms] { return loop.now() > until; });
     RawClient client(server->endpoint());
     client.sendAll(loop, "GET / HTTP/1.1\r\n" + std::string(5000, 'x'));
-    EXPECT_TRUE(runUntilEnd(ConnectionEndReason::HeadTooLong));
+    EXPECT_NE(client.readToEnd(loop).find("HTTP/1.1 431"), std::string::npos);
+    RawClient whole(server->endpoint());
+    whole.sendAll(loop, "GET / HTTP/1.1\r\nHost: a\r\nx: " + std::string(5000, 'x') + "\r\n\r\n");
+    EXPECT_NE(whole.readToEnd(loop).find("HTTP/1.1 431"), std::string::npos);
+    EXPECT_TRUE(bodies.empty());
 }
 
 // Guards against a crowd of connections that locks out the next caller.
--- a/Tests/StandIns/StandInBackend.cpp
+++ b/Tests/StandIns/StandInBackend.cpp
@@ -18,6 +18,8 @@
 static constexpr Duration restartRetry = 50ms;
 static constexpr Duration drainCheckInterval = 20ms;
 static constexpr double coldStartFactor = 3;
+// The largest that fulmard may be set to take.
+static constexpr uint64_t largestBody = 64u << 20;
 static constexpr uint16_t serviceUnavailable = 503;
 static constexpr uint16_t internalError = 500;
 static constexpr uint16_t badRequest = 400;
@@ -78,6 +80,7 @@
 {
     HttpServerOptions options;
     options.listen = m_endpoint;
+    options.maximumBodyBytes = largestBody;
     options.onRequest = [this](ServerRequestId id, HttpRequest request) { handle(id, std::move(request)); };
     options.onRequestGone = [this](ServerRequestId id) { gone(id); };
     m_server = std::make_unique<HttpServer>(m_loop, std::move(options));
--- a/Tests/System/Crowd/SmallFleet.cpp
+++ b/Tests/System/Crowd/SmallFleet.cpp
@@ -40,7 +40,7 @@
 {
     Endpoint platform { "127.0.0.1", freePort() };
     m_platform = std::make_unique<SystemProcess>(std::vector<std::string> { STANDIN_PLATFORM, "--port", std::to_string(platform.port), "--admin-port", std::to_string(freePort()) }, m_directory + "/platform.log");
-    auto settings = writeSettings(platform);
+    auto settings = writeSettings(platform, options);
     m_fulmard = std::make_unique<SystemProcess>(std::vector<std::string> { FULMARD, "--settings", settings }, m_directory + "/fulmard.log", options.maximumDescriptors);
     startBackend();
     if (!answersOrdinaryRequest())
@@ -56,17 +56,17 @@
     std::filesystem::remove_all(m_directory, error);
 }
 
-std::string SmallFleet::writeSettings(const Endpoint& platform) const
+std::string SmallFleet::writeSettings(const Endpoint& platform, const FleetOptions& options) const
 {
     auto path = m_directory + "/fulmard.yaml";
     auto write = [&](const std::string& account) {
         std::ofstream(path) << "instance: desk-1\nzone: agadir\nregion: souss-massa\ncallers: " << m_callers.toString()
                             << "\ncontrol: " << m_control.toString() << "\nplatform: [" << platform.toString() << "]\n"
                             << "fleet-key: example-fleet-key-example-fleet-key\noperator-key: example-operator-key-example-operator\n"
-                            << "limits: {request-body-bytes: " << Limit::requestBodyBytes << ", answer-body-bytes: " << Limit::answerBodyBytes << account << "}\n";
+                            << "limits: {request-body-bytes: " << options.requestBodyBytes << ", answer-body-bytes: " << Limit::answerBodyBytes << account << "}\n";
     };
     // A build without an account of bytes refuses the key.
-    write(", memory-bytes: " + std::to_string(Limit::memoryBytes));
+    write(", memory-bytes: " + std::to_string(options.memoryBytes));
     if (!SystemProcess::succeeds({ FULMARD, "--settings", path, "--check" }))
         write("");
     return path;
--- a/Tests/System/Crowd/SmallFleet.h
+++ b/Tests/System/Crowd/SmallFleet.h
@@ -19,6 +19,8 @@
 
 struct FleetOptions {
     uint64_t maximumDescriptors { 0 };
+    uint64_t requestBodyBytes { Limit::requestBodyBytes };
+    uint64_t memoryBytes { Limit::memoryBytes };
 };
 
 // One fulmard between a platform and a backend server that are stand-ins, each a process of its own on loopback.
@@ -38,7 +40,7 @@
     void announceBackend(const std::string& service, uint16_t port) const;
 
 private:
-    std::string writeSettings(const Endpoint& platform) const;
+    std::string writeSettings(const Endpoint& platform, const FleetOptions&) const;
     void startBackend();
 
     std::string m_directory;
--- a/Tests/System/Crowd/SystemProcess.cpp
+++ b/Tests/System/Crowd/SystemProcess.cpp
@@ -51,12 +51,12 @@
     return !m_hasEnded;
 }
 
-uint64_t SystemProcess::residentBytes() const
+uint64_t SystemProcess::statusBytes(const std::string& field) const
 {
     std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
     for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmRSS:"))
-            return std::strtoull(line.c_str() + 6, nullptr, 10) * 1024;
+        if (line.starts_with(field))
+            return std::strtoull(line.c_str() + field.size(), nullptr, 10) * 1024;
     }
     return 0;
 }
--- a/Tests/System/Crowd/SystemProcess.h
+++ b/Tests/System/Crowd/SystemProcess.h
@@ -17,14 +17,17 @@
     SystemProcess& operator=(const SystemProcess&) = delete;
 
     bool lives();
-    // VmRSS of the system's status of the process.
-    uint64_t residentBytes() const;
+    // VmRSS and VmHWM of the system's status of the process.
+    uint64_t residentBytes() const { return statusBytes("VmRSS:"); }
+    uint64_t peakResidentBytes() const { return statusBytes("VmHWM:"); }
     size_t openDescriptors() const;
 
     // Runs a program to its end. Says whether it reported success.
     static bool succeeds(const std::vector<std::string>& arguments);
 
 private:
+    uint64_t statusBytes(const std::string& field) const;
+
     pid_t m_pid { -1 };
     bool m_hasEnded { false };
 };
--- a/Tests/System/Crowd/TestCrowd.cpp
+++ b/Tests/System/Crowd/TestCrowd.cpp
@@ -78,6 +78,7 @@
         m_descriptorsAtStart = fleet().fulmard().openDescriptors();
     }
     SmallFleet& fleet() { return *m_fleet; }
+    uint64_t residentAtStart() const { return m_residentAtStart; }
 
     void look()
     {
@@ -167,6 +168,26 @@
     EXPECT_EQ(requestStatus(fleet().callers(), head + std::string(Limit::requestBodyBytes, 'x'), std::chrono::seconds(10)), 200);
 }
 
+// A machine of 160 MB has an account of 80 MiB.
+TEST_F(Crowd, NoneAndTheLargestBodyIsServedOnASmallMachine)
+{
+    constexpr uint64_t largestBody = 64u << 20;
+    constexpr uint64_t memory = 80u << 20;
+    start({ .requestBodyBytes = largestBody, .memoryBytes = memory });
+    auto head = postHead("connection: close\r\ncontent-length: " + std::to_string(largestBody));
+    EXPECT_EQ(requestStatus(fleet().callers(), head + std::string(largestBody, 'x'), std::chrono::seconds(30)), 200);
+    EXPECT_LE(fleet().fulmard().peakResidentBytes(), residentAtStart() + memory + processSlack);
+}
+
+TEST_F(Crowd, NoneAndABodyThatTheMachineCannotHoldIsRefused)
+{
+    constexpr uint64_t largestBody = 64u << 20;
+    start({ .requestBodyBytes = largestBody });
+    auto head = postHead("connection: close\r\ncontent-length: " + std::to_string(largestBody));
+    EXPECT_EQ(requestStatus(fleet().callers(), head, std::chrono::seconds(10)), 503);
+    EXPECT_TRUE(fleet().answersOrdinaryRequest());
+}
+
 TEST_F(Crowd, BodiesAnnouncedFarOverTheLimit)
 {
     start();
