Tests: Check the identity of callers over whole nodes

The rule that an id alone makes no call of a running request was only tested at one process. Two properties now run fleets of four nodes: with a killed and restarted node, nothing runs for a caller without a key, whatever its id looks like; and without faults, no call of a running request is refused for want of a key, wherever its parent entered the fleet. The fake fleet takes account, parent and fingerprint from ForwardCall, as the shell does.

--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -115,7 +115,7 @@
     return info;
 }
 
-size_t NodeFleet::send(size_t node, RequestInfo info)
+size_t NodeFleet::send(size_t node, RequestInfo info, const std::string& keyDigest)
 {
     CallId call(++m_lastCall);
     m_requestByCall[{ node, call }] = m_requests.size();
@@ -127,7 +127,7 @@
     m_requestById[info.id] = m_requests.size();
     m_requests.push_back(request);
     auto authority = info.service.value() + ".example";
-    m_fleet.deliver(node, CallArrived { call, std::move(info), authority, {} });
+    m_fleet.deliver(node, CallArrived { call, std::move(info), authority, {}, keyDigest });
     return m_requests.size() - 1;
 }
 
@@ -239,6 +239,9 @@
 {
     auto request = m_requests[m_requestByCall.at({ node, effect.call })].info;
     request.remaining = effect.remaining;
+    request.parent = effect.parent;
+    request.account = effect.account;
+    request.fingerprint = effect.fingerprint;
     auto sidecar = nodeOf(effect.sidecar);
     ForwardedCall forwarded { node, m_generations[node], effect.call, effect.attempt, effect.sidecar, sidecar, m_fleet.now(), request };
     if (sidecar == node) {
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -125,8 +125,8 @@
 
     // Adds a backend server whose sidecar is the node. Returns its index.
     size_t addBackend(const std::string& service, size_t node);
-    // Sends a caller's request to the node. Returns its index in requests().
-    size_t send(size_t node, RequestInfo);
+    // Sends a caller's request to the node, with the digest of its API key if it has one. Returns its index in requests().
+    size_t send(size_t node, RequestInfo, const std::string& keyDigest = "");
     void callerGone(size_t request);
     // Makes a request with a unique id.
     RequestInfo makeRequest(const std::string& service, Method, std::optional<std::string> key = std::nullopt);
--- a/Tests/LibDecision/Node/TestTenants.cpp
+++ b/Tests/LibDecision/Node/TestTenants.cpp
@@ -1,3 +1,5 @@
+#include "NodeFleet.h"
+
 #include <LibDecision/Node.h>
 #include <LibDecision/NodeState.h>
 
@@ -5,7 +7,10 @@
 #include <gtest/gtest.h>
 #include <optional>
 #include <rapidcheck/gtest.h>
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace Decision;
 
@@ -192,3 +197,95 @@
     // A call of a running request goes one priority before its route.
     RC_ASSERT(with.priority == (id == "r" ? 3u : 2u));
 }
+
+namespace {
+
+constexpr size_t fleetNodes = 4;
+
+Testing::NodeFleetOptions optionsWithTenants()
+{
+    auto table = std::make_shared<RouteTable>();
+    table->version = Revision(1);
+    table->tenants = { { AccountId("north"), { "key-n" }, 1 }, { AccountId("south"), { "key-s" } } };
+    for (const auto* name : { "desk", "archive" }) {
+        table->services.push_back({ ServiceName(name), "/health", 100 });
+        Route route { name, std::string(name) + ".example", "/", { { ServiceName(name), 1 } } };
+        route.timeout = 2s;
+        route.isIdempotent = true;
+        route.maximumAttempts = 3;
+        table->routes.push_back(route);
+    }
+    return { .routing = RoutingMode::RouteTable, .routes = table, .areBackendsTied = true };
+}
+
+// Backend servers of the first half of the nodes make calls to those of the second half.
+void addBackends(Testing::NodeFleet& fleet)
+{
+    for (size_t node = 0; node < fleetNodes; ++node) {
+        bool makesCalls = node < fleetNodes / 2;
+        auto& backend = fleet.backends()[fleet.addBackend(makesCalls ? "desk" : "archive", node)];
+        backend.calledService = ServiceName(makesCalls ? "archive" : "");
+        backend.callShare = makesCalls ? 1 : 0;
+    }
+    fleet.runFor(12s);
+}
+
+struct SentRequest {
+    size_t number { 0 };
+    bool hasKey { false };
+};
+
+std::vector<SentRequest> sendArbitraryRequests(Testing::NodeFleet& fleet)
+{
+    std::vector<SentRequest> sent;
+    auto count = *rc::gen::inRange(1, 60);
+    for (int number = 0; number < count; ++number) {
+        auto info = fleet.makeRequest("desk", Method::Get);
+        if (*rc::gen::arbitrary<bool>()) {
+            info.parent = RequestId("request-that-never-ran");
+            info.id = RequestId(info.parent->value() + "." + info.id.value());
+        }
+        auto key = *rc::gen::element<std::string>("key-n", "key-s", "key-x", "");
+        auto node = *rc::gen::inRange<size_t>(0, fleetNodes);
+        sent.push_back({ fleet.send(node, info, key), key == "key-n" || key == "key-s" });
+        fleet.runFor(std::chrono::milliseconds(*rc::gen::inRange(0, 50)));
+    }
+    return sent;
+}
+
+}
+
+// Whatever fails, no request runs for a caller without a key, also not by an id like that of a running request's call.
+RC_GTEST_PROP(Tenants, NothingRunsForACallerWithoutAKey, ())
+{
+    Testing::NodeFleet fleet(*rc::gen::arbitrary<uint64_t>(), fleetNodes, optionsWithTenants());
+    addBackends(fleet);
+    auto victim = *rc::gen::inRange<size_t>(0, fleetNodes);
+    fleet.fleet().callLater(std::chrono::milliseconds(*rc::gen::inRange(0, 1000)), [&] { fleet.kill(victim); });
+    fleet.fleet().callLater(1500ms, [&] { fleet.restart(victim); });
+    auto sent = sendArbitraryRequests(fleet);
+    fleet.runFor(5s);
+    for (const auto& request : sent) {
+        const auto& known = fleet.requests()[request.number];
+        RC_ASSERT(request.hasKey || known.runs == 0);
+        RC_ASSERT(!request.hasKey || known.reason != Reason::UnknownKey);
+    }
+}
+
+// A run whose calls are refused for want of a key would fail although its caller had one.
+RC_GTEST_PROP(Tenants, CallsOfRunningRequestsNeedNoKeyAtAnyProcess, ())
+{
+    Testing::NodeFleet fleet(*rc::gen::arbitrary<uint64_t>(), fleetNodes, optionsWithTenants());
+    addBackends(fleet);
+    auto sent = sendArbitraryRequests(fleet);
+    fleet.runFor(5s);
+    size_t calls = 0;
+    for (const auto& request : fleet.requests()) {
+        if (!request.waitingRun)
+            continue;
+        ++calls;
+        RC_ASSERT(request.reason != Reason::UnknownKey);
+    }
+    auto withKey = std::ranges::count_if(sent, &SentRequest::hasKey);
+    RC_ASSERT(calls >= static_cast<size_t>(withKey));
+}
