Tests: Follow a tenant's request to another process

That the key stays at the ingress was only tested at one process. A second fulmard without a backend server now takes the request: the first one's backend server learns the tenant's name, no header that it gets holds the key, and neither does any log line or span of the two. A keyless request with an id like a call's is refused there too.

--- a/Tests/fulmard/DaemonTest.h
+++ b/Tests/fulmard/DaemonTest.h
@@ -24,10 +24,17 @@
     void start(const std::string& configuration = R"({"version":7,"routes":[],"services":[]})")
     {
         m_store.put("op/config", configuration);
+        startDaemon(m_daemon, "node-1", {});
+    }
+
+    void startDaemon(std::optional<Daemon>& daemon, const std::string& instance, const std::vector<Endpoint>& peers)
+    {
         DaemonOptions options;
         options.settings = PlatformAdapter::readNodeFile("node=node-1\nzone=agadir\nregion=souss-massa\nlisten.inbound=127.0.0.1:1\n"
                                                          "listen.outbound=127.0.0.1:1\nplatform.address=127.0.0.1:1\n",
             "settings");
+        options.settings.instance = InstanceId(instance);
+        options.settings.peers = peers;
         options.settings.callers = { "127.0.0.1", 0 };
         options.settings.control = { "127.0.0.1", 0 };
         options.settings.log.level = logLevel;
@@ -44,8 +51,8 @@
         };
         options.platform.readAnnouncement = PlatformAdapter::readInstanceReport;
         options.start = Incarnation(1);
-        m_daemon.emplace(m_loop, std::move(options));
-        m_daemon->start();
+        daemon.emplace(m_loop, std::move(options));
+        daemon->start();
     }
 
     template <typename Condition>
--- a/Tests/fulmard/TestTenants.cpp
+++ b/Tests/fulmard/TestTenants.cpp
@@ -37,11 +37,22 @@
         ASSERT_EQ(checkIn("i-1", report("address", "\"" + m_backend->endpoint().toString() + "\"")), 204);
     }
 
+    // Starts a process without a backend server of its own.
+    void startIngress()
+    {
+        startDaemon(m_ingress, "node-2", { m_daemon->controlEndpoint() });
+        ASSERT_TRUE(runUntil([&] {
+            const auto& ingress = m_ingress->node().state();
+            return ingress.routes().table() && ingress.registry().find(BackendId("i-1"));
+        }));
+    }
+
     Transport::HttpResponse send(const std::string& target, Transport::HeaderList headers)
     {
         Transport::ClientRequest request;
-        request.to = m_daemon->callersEndpoint();
-        headers.push_back({ "attempt-id", "a-" + std::to_string(++m_lastRequest) });
+        request.to = m_ingress ? m_ingress->callersEndpoint() : m_daemon->callersEndpoint();
+        if (!Transport::findHeader(headers, "attempt-id"))
+            headers.push_back({ "attempt-id", "a-" + std::to_string(++m_lastRequest) });
         request.request = { "POST", "office.example", target, std::move(headers), "body" };
         request.deadline = 5s;
         std::optional<Transport::HttpResponse> response;
@@ -60,6 +71,7 @@
 
 private:
     std::optional<Transport::HttpServer> m_backend;
+    std::optional<Daemon> m_ingress;
     uint64_t m_lastRequest { 0 };
 };
 
@@ -89,6 +101,21 @@
     EXPECT_EQ(output.find(secret), std::string::npos);
 }
 
+// The request crosses to another process, which takes account and header from the ingress.
+TEST_F(TenantsTest, ABackendServerOfAnotherProcessLearnsTheTenantAndNobodyTheKey)
+{
+    startWith(R"(,"tenants":[{"name":"north","apiKeys":[")" + std::string(secret) + R"("]}])");
+    startIngress();
+    EXPECT_EQ(send("/r/x", { { "authorization", "Bearer " + std::string(secret) }, { "tenant", "south" }, { "fulmar-account", "south" } }).status, 200);
+    ASSERT_EQ(received.size(), 1u);
+    EXPECT_EQ(lastReceived("tenant"), "north");
+    for (const auto& header : received.back().headers)
+        EXPECT_EQ(header.value.find(secret), std::string::npos) << header.name;
+    EXPECT_EQ(output.find(secret), std::string::npos);
+    EXPECT_EQ(send("/r/x", { { "attempt-id", "a.1" } }).status, 401);
+    EXPECT_EQ(received.size(), 1u);
+}
+
 // Deployments without tenants use these headers for purposes of their own.
 TEST_F(TenantsTest, WithoutTenantsTheHeadersPassUnchanged)
 {
