--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -298,6 +298,9 @@
 {
     auto request = m_requests[m_requestByCall.at({ node, effect.call })].info;
     request.remaining = effect.remaining;
+    request.parent = effect.parent;
+    request.account = effect.account;
+    request.fingerprint = effect.fingerprint;
     auto sidecar = nodeOf(effect.sidecar);
     ForwardedCall forwarded { node, m_generations[node], effect.call, effect.attempt, effect.sidecar, sidecar, m_fleet.now(), request, ++m_lastSend };
     closeEarlierSend(attemptOf(forwarded));
--- a/Tests/fulmard/TestTenants.cpp
+++ b/Tests/fulmard/TestTenants.cpp
@@ -1,6 +1,7 @@
 #include "DaemonTest.h"
 
 #include <LibTransport/HttpServer.h>
+#include <Services/fulmard/SuspendedTime.h>
 
 using namespace Testing;
 
@@ -36,11 +37,22 @@
         ASSERT_EQ(checkIn("i-1", report("address", "\"" + m_backend->endpoint().toString() + "\"")), 204);
     }
 
+    // Starts a process without a backend server of its own.
+    void startIngress()
+    {
+        startDaemon(m_ingress, "node-2", { m_daemon->controlEndpoint() });
+        ASSERT_TRUE(runUntil([&] {
+            const auto& ingress = m_ingress->node().state();
+            return ingress.routes().table() && ingress.registry().find(BackendId("i-1"));
+        }));
+    }
+
     Transport::HttpResponse send(const std::string& target, Transport::HeaderList headers)
     {
         Transport::ClientRequest request;
-        request.to = m_daemon->callersEndpoint();
-        headers.push_back({ "attempt-id", "a-" + std::to_string(++m_lastRequest) });
+        request.to = m_ingress ? m_ingress->callersEndpoint() : m_daemon->callersEndpoint();
+        if (!Transport::findHeader(headers, "attempt-id"))
+            headers.push_back({ "attempt-id", "a-" + std::to_string(++m_lastRequest) });
         request.request = { "POST", "office.example", target, std::move(headers), "body" };
         request.deadline = 5s;
         std::optional<Transport::HttpResponse> response;
@@ -59,6 +71,7 @@
 
 private:
     std::optional<Transport::HttpServer> m_backend;
+    std::optional<Daemon> m_ingress;
     uint64_t m_lastRequest { 0 };
 };
 
@@ -88,6 +101,21 @@
     EXPECT_EQ(output.find(secret), std::string::npos);
 }
 
+// The request crosses to another process, which takes account and header from the ingress.
+TEST_F(TenantsTest, ABackendServerOfAnotherProcessLearnsTheTenantAndNobodyTheKey)
+{
+    startWith(R"(,"tenants":[{"name":"north","apiKeys":[")" + std::string(secret) + R"("]}])");
+    startIngress();
+    EXPECT_EQ(send("/r/x", { { "authorization", "Bearer " + std::string(secret) }, { "tenant", "south" }, { "fulmar-account", "south" } }).status, 200);
+    ASSERT_EQ(received.size(), 1u);
+    EXPECT_EQ(lastReceived("tenant"), "north");
+    for (const auto& header : received.back().headers)
+        EXPECT_EQ(header.value.find(secret), std::string::npos) << header.name;
+    EXPECT_EQ(output.find(secret), std::string::npos);
+    EXPECT_EQ(send("/r/x", { { "attempt-id", "a.1" } }).status, 401);
+    EXPECT_EQ(received.size(), 1u);
+}
+
 // Deployments without tenants use these headers for purposes of their own.
 TEST_F(TenantsTest, WithoutTenantsTheHeadersPassUnchanged)
 {
@@ -98,6 +126,17 @@
     EXPECT_EQ(lastReceived("tenant"), "south");
 }
 
+// A reading that is too large would hide a later suspension, so that a proof would seem younger than it is.
+TEST(SuspendedTime, ReadingsAgreeWhileTheMachineRuns)
+{
+    constexpr Duration tolerance = 1ms;
+    constexpr int readings = 1000;
+    auto first = readSuspendedTime();
+    EXPECT_GE(first, Duration::zero());
+    for (int reading = 0; reading < readings; ++reading)
+        EXPECT_LT(std::chrono::abs(readSuspendedTime() - first), tolerance);
+}
+
 TEST_F(TenantsTest, AnUnusableRouteIsRefusedAsNotRun)
 {
     start(R"({"version":7,"routes":[{"name":"r","host":"office.example","prefix":"/r/","routeKind":"new"}],"services":[]})");
