LibDecision: Scale the intervals of proofs with the revocation bound

The platform scales its bounds with a deployment. At a bound of 2 s, proofs that are renewed each second and are up to 2 s old would be refused in a calm fleet. The intervals and ages now shrink in proportion below 5 s.

--- a/Libraries/LibDecision/Configuration/ConfigurationProof.cpp
+++ b/Libraries/LibDecision/Configuration/ConfigurationProof.cpp
@@ -23,6 +23,8 @@
     // A relay answers the questions of so many processes.
     constexpr size_t processesPerRelay = 16;
 
+    // The bound for which the times below are meant; those of a shorter one are shorter in proportion.
+    constexpr Duration nominalBound = 5s;
     // The proofs of a process that neither reads nor relays are at most about 2.1 s old: the sum of the three intervals.
     constexpr Duration readInterval = 1s;
     constexpr Duration relayInterval = 400ms;
@@ -77,6 +79,11 @@
     return known && *known < limit;
 }
 
+Duration ConfigurationProof::scaled(Duration nominal) const
+{
+    return nominal * std::min(m_terms.revocationBound, nominalBound).count() / nominalBound.count();
+}
+
 std::optional<Reason> ConfigurationProof::refusal(Instant now) const
 {
     if (!isActive() || isYoungerThan(now, m_terms.revocationBound - m_terms.revocationBound / marginDivisor))
@@ -122,7 +129,7 @@
     if (!isActive)
         return;
     bool hasNewEra = std::exchange(m_hasNewEra, false);
-    if (hasBegun || hasNewEra || (hasResumed && !isYoungerThan(turn.now(), readInterval)))
+    if (hasBegun || hasNewEra || (hasResumed && !isYoungerThan(turn.now(), scaled(readInterval))))
         startRound(turn);
     scheduleLastResort(turn);
     reportChange(turn);
@@ -176,11 +183,11 @@
     auto relays = relaysOfZone();
     auto self = std::ranges::find(relays, m_self);
     m_rank = static_cast<size_t>(self - relays.begin());
-    bool isRelay = self != relays.end();
-    bool isReader = m_rank < readers && (isRelay || relays.empty());
+    m_isRelay = self != relays.end() || relays.empty();
+    bool isReader = m_isRelay && m_rank < readers;
 
     std::vector<InstanceId> peers;
-    if (isRelay) {
+    if (m_isRelay) {
         // A relay asks those of a lower rank, so that relays don't wait for each other.
         std::ranges::copy(relays.begin(), relays.begin() + static_cast<ptrdiff_t>(std::min(m_rank, readers)), std::back_inserter(peers));
     } else {
@@ -191,7 +198,7 @@
     std::vector<Step> steps(peers.begin(), peers.end());
     if (isReader)
         steps.emplace_back();
-    if (isRelay)
+    if (m_isRelay)
         std::ranges::copy_if(relays, std::back_inserter(steps), [&](const InstanceId& peer) { return peer != m_self && std::ranges::find(peers, peer) == peers.end(); });
     std::vector<InstanceId> others;
     std::ranges::copy_if(m_membership.liveMembers(), std::back_inserter(others), [&](const InstanceId& peer) {
@@ -213,7 +220,7 @@
         if (mayRead(turn.now()))
             read(turn);
         // Others are asked beside the store if it has answered nothing for a while.
-        if (isYoungerThan(turn.now(), freshAge))
+        if (isYoungerThan(turn.now(), scaled(freshAge)))
             break;
     }
     endRound(turn);
@@ -228,11 +235,11 @@
 
 Duration ConfigurationProof::roundInterval(Instant now) const
 {
-    if (!isYoungerThan(now, freshAge))
+    if (!isYoungerThan(now, scaled(freshAge)))
         return retryInterval;
-    if (m_rank == 0)
-        return readInterval;
-    return m_rank < relaysOfZone().size() ? relayInterval : askInterval;
+    if (!m_isRelay)
+        return scaled(askInterval);
+    return scaled(m_rank == 0 ? readInterval : relayInterval);
 }
 
 bool ConfigurationProof::ask(Turn& turn, const InstanceId& peer)
@@ -254,17 +261,19 @@
 {
     auto tag = turn.callPlatform(ConfirmRoutes { m_readIndex });
     m_pendingReads.push_back({ tag, m_suspendedTime.bootInstant(turn.now()), m_readIndex, m_readVersion });
-    m_readNotBefore = turn.now() + readInterval;
+    m_readNotBefore = turn.now() + scaled(readInterval);
 }
 
 void ConfigurationProof::scheduleLastResort(Turn& turn)
 {
-    if (isYoungerThan(turn.now(), staleAge)) {
+    if (isYoungerThan(turn.now(), scaled(staleAge))) {
         m_lastResortAt.reset();
         return;
     }
-    if (!m_lastResortAt)
-        m_lastResortAt = turn.now() + Duration(std::uniform_int_distribution<Duration::rep>(Duration(shortestDelay).count(), Duration(longestDelay).count())(turn.random()));
+    if (m_lastResortAt)
+        return;
+    std::uniform_int_distribution<Duration::rep> delay(scaled(shortestDelay).count(), scaled(longestDelay).count());
+    m_lastResortAt = turn.now() + Duration(delay(turn.random()));
 }
 
 bool ConfigurationProof::handleReply(Turn& turn, const PlatformReply& reply)
@@ -339,7 +348,7 @@
     if (!isLatest)
         return;
     m_answerDueAt.reset();
-    if (isYoungerThan(turn.now(), freshAge))
+    if (isYoungerThan(turn.now(), scaled(freshAge)))
         endRound(turn);
     else
         takeNextStep(turn);
--- a/Libraries/LibDecision/Configuration/ConfigurationProof.h
+++ b/Libraries/LibDecision/Configuration/ConfigurationProof.h
@@ -66,6 +66,8 @@
     using Step = std::optional<InstanceId>;
 
     const RevisionProof* proof() const { return m_proofs.latestFor(m_routes.version()); }
+    // Shortens a time if the bound is shorter than the nominal one.
+    Duration scaled(Duration nominal) const;
     bool isYoungerThan(Instant now, Duration limit) const;
 
     void reset();
@@ -122,6 +124,8 @@
     InstanceId m_silentPeer;
     std::vector<Step> m_steps;
     std::optional<Instant> m_nextRound;
+    // Place among the relays of the zone when the round was planned.
+    bool m_isRelay { false };
     size_t m_rank { 0 };
 };
 
--- a/Tests/LibDecision/Node/TestRevocation.cpp
+++ b/Tests/LibDecision/Node/TestRevocation.cpp
@@ -23,13 +23,13 @@
     return table;
 }
 
-NodeFleetOptions strictOptions()
+NodeFleetOptions strictOptions(Duration revocationBound = bound)
 {
     NodeFleetOptions options;
     options.routing = RoutingMode::RouteTable;
     options.routes = tableOf(1);
     options.tenants.hasStrictRevocation = true;
-    options.tenants.revocationBound = bound;
+    options.tenants.revocationBound = revocationBound;
     return options;
 }
 
@@ -184,14 +184,17 @@
     }
 }
 
+// Numbers of the whole range also in the first schedules, which would otherwise have short faults only.
+int anyOf(int from, int to) { return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(from, to)); }
+
 std::vector<FaultStep> arbitrarySteps()
 {
-    std::vector<FaultStep> steps(*rc::gen::inRange<size_t>(1, 9));
+    std::vector<FaultStep> steps(static_cast<size_t>(anyOf(1, 7)));
     for (auto& step : steps) {
-        step.kind = static_cast<RevocationFault>(*rc::gen::inRange(0, static_cast<int>(RevocationFault::Last)));
-        step.at = std::chrono::milliseconds(*rc::gen::inRange(0, 12'000));
-        step.length = std::chrono::milliseconds(*rc::gen::inRange(100, 12'000));
-        step.node = *rc::gen::inRange<size_t>(0, nodeCount);
+        step.kind = static_cast<RevocationFault>(anyOf(0, static_cast<int>(RevocationFault::Last)));
+        step.at = std::chrono::milliseconds(anyOf(0, 12'000));
+        step.length = std::chrono::milliseconds(anyOf(100, 12'000));
+        step.node = static_cast<size_t>(anyOf(0, nodeCount));
     }
     return steps;
 }
@@ -327,6 +330,17 @@
     EXPECT_TRUE(revocation.isProvenEverywhere());
 }
 
+// Guards against refusals where the platform scales its bounds down.
+TEST(Revocation, AShortBoundIsKeptWithoutRefusals)
+{
+    RevocationFleet revocation(6, 20, strictOptions(2s));
+    revocation.fleet.runFor(10s);
+    for (int tick = 0; tick < 200; ++tick) {
+        revocation.fleet.runFor(50ms);
+        EXPECT_TRUE(revocation.isProvenEverywhere()) << tick;
+    }
+}
+
 // Guards against cost where the feature isn't asked for.
 TEST(Revocation, WithoutStrictRevocationNothingIsSentOrRead)
 {
