--- a/Tests/PlatformAdapter/TestNodeFile.cpp
+++ b/Tests/PlatformAdapter/TestNodeFile.cpp
@@ -74,3 +74,13 @@
         RC_SUCCEED("refused");
     }
 }
+
+// Guards against strict revocation that is asked for and not in force.
+TEST(NodeFile, StrictRevocationIsReadFromTheBounds)
+{
+    EXPECT_FALSE(readNodeFile(valid, "settings.conf").tenants.hasStrictRevocation);
+    auto terms = readNodeFile(valid + "bounds=strictRevocation=true,revokeMs=4000\n", "settings.conf").tenants;
+    EXPECT_TRUE(terms.hasStrictRevocation);
+    EXPECT_EQ(terms.revocationBound, 4s);
+    EXPECT_THROW(readNodeFile(valid + "bounds=strictRevocation=yes\n", "settings.conf"), DocumentError);
+}
