LibDecision: Let the share of requests that leaves the zone follow the gap between zones

Change: where a profile asks for it and the nearest other zone is that far, ZoneCrossing decides: requests stay while waiting at home costs at most a tenth of the objective's slack, and the share that leaves grows with the gap beyond. Away, the best of four drawn servers is taken. Zones that stand closer, and services with few servers in the zone, are served as before.

Evidence: TestRouting, 26 tests pass.

--- a/Libraries/LibDecision/Membership/Membership.cpp
+++ b/Libraries/LibDecision/Membership/Membership.cpp
@@ -338,9 +338,11 @@
 
 void Membership::handle(Turn& turn, const Message& message, const Ack& ack)
 {
-    auto answered = m_probes.takeAnswer(ack.sequence, message.from);
+    auto answered = m_probes.takeAnswer(turn.now(), ack.sequence, message.from);
     if (!answered)
         return;
+    if (const auto* member = find(message.from))
+        m_distances.record(member->zone, answered->roundTrip);
     probeAnswered(turn, message.from);
     if (answered->relay)
         send(turn, answered->relay->requester, answered->relay->requesterControl, IndirectAck { answered->relay->sequence, message.from });
--- a/Libraries/LibDecision/Membership/Membership.h
+++ b/Libraries/LibDecision/Membership/Membership.h
@@ -7,6 +7,7 @@
 #include <LibDecision/Membership/PendingProbes.h>
 #include <LibDecision/Membership/ProbeSchedule.h>
 #include <LibDecision/Membership/SyncSession.h>
+#include <LibDecision/Membership/ZoneDistances.h>
 #include <LibDecision/Turn.h>
 
 #include <optional>
@@ -70,6 +71,8 @@
     const MemberRecord* find(const InstanceId&) const;
     // True if the member is known and not dead and the path to it is not lost. True for this process itself.
     bool isReachable(const InstanceId&) const;
+    // Returns the shortest round trip to the processes of a zone; nullopt if none was measured yet.
+    std::optional<Duration> roundTripTo(const ZoneName& zone) const { return m_distances.roundTripTo(zone); }
     // Alive and suspect members including this process, sorted by instance.
     const std::vector<InstanceId>& liveMembers() const { return m_members.live(); }
     std::vector<const MemberRecord*> allMembers() const { return m_members.all(); }
@@ -156,6 +159,7 @@
     PathTable m_paths;
     ProbeSchedule m_schedule;
     PendingProbes m_probes;
+    ZoneDistances m_distances;
     Dissemination m_dissemination;
     AntiEntropy m_records;
     SyncSession m_sync;
--- a/Libraries/LibDecision/Membership/PendingProbes.cpp
+++ b/Libraries/LibDecision/Membership/PendingProbes.cpp
@@ -14,7 +14,7 @@
 uint64_t PendingProbes::begin(Instant now, const InstanceId& target, uint32_t timeoutMultiplier)
 {
     auto sequence = ++m_lastSequence;
-    m_probes.emplace(sequence, Probe { target, now + probeTimeout * timeoutMultiplier });
+    m_probes.emplace(sequence, Probe { target, now + probeTimeout * timeoutMultiplier, now });
     m_byTarget[target] = sequence;
     m_timers.set(sequence, now + directTimeout * timeoutMultiplier);
     return sequence;
@@ -26,17 +26,17 @@
         return std::nullopt;
     ++m_relays;
     auto sequence = ++m_lastSequence;
-    m_probes.emplace(sequence, Probe { .target = target, .end = now + relayTimeout, .relay = std::move(relay) });
+    m_probes.emplace(sequence, Probe { .target = target, .end = now + relayTimeout, .sentAt = now, .relay = std::move(relay) });
     m_timers.set(sequence, now + relayTimeout);
     return sequence;
 }
 
-std::optional<AnsweredProbe> PendingProbes::takeAnswer(uint64_t sequence, const InstanceId& from)
+std::optional<AnsweredProbe> PendingProbes::takeAnswer(Instant now, uint64_t sequence, const InstanceId& from)
 {
     auto probe = m_probes.find(sequence);
     if (probe == m_probes.end() || probe->second.target != from)
         return std::nullopt;
-    AnsweredProbe answered { probe->second.target, std::move(probe->second.relay) };
+    AnsweredProbe answered { probe->second.target, now - probe->second.sentAt, std::move(probe->second.relay) };
     probe->second.relay = answered.relay;
     erase(sequence);
     return answered;
--- a/Libraries/LibDecision/Membership/PendingProbes.h
+++ b/Libraries/LibDecision/Membership/PendingProbes.h
@@ -40,6 +40,8 @@
 // A probe whose ping was answered by its target.
 struct AnsweredProbe {
     InstanceId target;
+    // Time from sending the ping to its answer.
+    Duration roundTrip { 0 };
     // Set if the ping was sent on behalf of another process.
     std::optional<ProbeRelay> relay;
 };
@@ -55,7 +57,7 @@
     std::optional<uint64_t> beginRelay(Instant now, const InstanceId& target, ProbeRelay);
 
     // Ends the probe. Returns std::nullopt if the ack is late, duplicate or not from the target.
-    std::optional<AnsweredProbe> takeAnswer(uint64_t sequence, const InstanceId& from);
+    std::optional<AnsweredProbe> takeAnswer(Instant now, uint64_t sequence, const InstanceId& from);
     void noteIndirectAnswer(uint64_t sequence, const InstanceId& target);
     // Lets the direct ping time out at once, because the target's endpoint can't be reached.
     void expireDirectPing(Instant now, const InstanceId& target);
@@ -70,6 +72,7 @@
     struct Probe {
         InstanceId target;
         Instant end {};
+        Instant sentAt {};
         bool sentIndirectPings { false };
         bool answeredIndirectly { false };
         std::optional<ProbeRelay> relay;
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -43,6 +43,7 @@
     const BackendRegistry& registry() const { return m_registry; }
     const LocalBackends& localBackends() const { return m_localBackends; }
     const Health& health() const { return m_health; }
+    const NodeRouter& router() const { return m_router; }
     const NodeAdmission& admission() const { return m_admission; }
     const NodeCalls& calls() const { return m_calls; }
     bool isLeaving() const { return m_leavingSince.has_value(); }
--- a/Libraries/LibDecision/Routing/Router.h
+++ b/Libraries/LibDecision/Routing/Router.h
@@ -9,6 +9,7 @@
 #include <LibDecision/Routing/CandidateList.h>
 #include <LibDecision/Routing/KnownConditions.h>
 #include <LibDecision/Routing/LoadTable.h>
+#include <LibDecision/Routing/ZoneCrossing.h>
 #include <LibDecision/Turn.h>
 
 #include <algorithm>
@@ -57,7 +58,7 @@
 
 // The queries that the router makes about processes.
 template <typename T>
-concept MembershipView = requires(const T& members, const InstanceId& instance)
+concept MembershipView = requires(const T& members, const InstanceId& instance, const ZoneName& zone)
 {
     {
         members.find(instance)
@@ -68,6 +69,19 @@
     {
         members.self()
         } -> std::same_as<const MemberRecord&>;
+    {
+        members.roundTripTo(zone)
+        } -> std::same_as<std::optional<Duration>>;
+};
+
+// How requests were placed with regard to availability zones, where ZoneCrossing decides.
+struct CrossingCounts {
+    // The zone's own backend servers had room enough.
+    uint64_t stayed { 0 };
+    // Waiting at home would have taken too long.
+    uint64_t left { 0 };
+    // No healthy backend server of the own zone could take the request.
+    uint64_t lacking { 0 };
 };
 
 // Chooses the backend server for each attempt of a call. A request with an idempotency key goes to the backend server
@@ -104,6 +118,8 @@
     // The process's control endpoint; nullopt if the process is unknown or unreachable.
     std::optional<Endpoint> controlOf(const InstanceId&) const;
 
+    const CrossingCounts& crossings() const { return m_crossings; }
+
 private:
     using Candidates = std::span<const BackendRecord* const>;
 
@@ -125,6 +141,17 @@
         bool isLastResort { false };
     };
 
+    // The best backend servers that a comparison found; those that it didn't find have no record.
+    struct Comparison {
+        RatedCandidate home;
+        RatedCandidate away;
+        // The best of some that were drawn at random from the other zones.
+        RatedCandidate drawnAway;
+        RatedCandidate faulty;
+        // Gets the request whatever the others cost, to find out whether its fault is over.
+        RatedCandidate trial;
+    };
+
     // Services with more backend servers than this are sampled instead of compared.
     static constexpr size_t maximumCompared = 128;
 
@@ -136,6 +163,14 @@
     RatedCandidate drawCandidate(Turn&, Candidates, const RouteRequest&, const BackendRecord* other);
     RatedCandidate chooseBySampling(Turn&, const CandidateList&, const RouteRequest&);
     RatedCandidate chooseByComparison(Turn&, const CandidateList&, const RouteRequest&);
+    Comparison compare(Turn&, const CandidateList&, const RouteRequest&) const;
+    // Whether ZoneCrossing decides, rather than the fixed cost of crossing.
+    bool weighsCrossing(const CandidateList&, const RouteRequest&) const;
+    // Returns a few backend servers of other zones, drawn at random; none if the fixed cost of crossing decides.
+    std::vector<const BackendRecord*> drawAway(Turn&, const CandidateList&, const RouteRequest&) const;
+    // How much longer a round trip to the nearest of them takes than one within the own zone; nullopt if it isn't known.
+    std::optional<Duration> shortestExtraRoundTrip(const std::vector<const BackendRecord*>& others) const;
+    RatedCandidate chooseZone(Turn&, const CandidateList&, const Comparison&, const RouteRequest&);
     bool isProbablyFaulty(const BackendRecord&, const RouteRequest&, Instant now) const;
     // Returns true if the queue of the backend server is too long for the request to be answered in time, or its limit
     // too low.
@@ -158,6 +193,7 @@
     LoadTable m_loads;
     KnownConditions m_conditions;
     std::unordered_map<ServiceName, CandidateList> m_candidates;
+    CrossingCounts m_crossings;
 };
 
 template <MembershipView Members>
@@ -252,7 +288,7 @@
     std::ranges::for_each(m_registry.backendsOf(service), [&](const BackendRecord* record) {
         (isOwnZone(*record) ? own : other).push_back(record);
     });
-    list.rebuild(own, other, generation, now);
+    list.rebuild(own, other, shortestExtraRoundTrip(other), generation, now);
     return list;
 }
 
@@ -398,26 +434,94 @@
 }
 
 template <MembershipView Members>
-typename Router<Members>::RatedCandidate Router<Members>::chooseByComparison(Turn& turn, const CandidateList& candidates, const RouteRequest& request)
+typename Router<Members>::Comparison Router<Members>::compare(Turn& turn, const CandidateList& candidates, const RouteRequest& request) const
 {
-    RatedCandidate bestHealthy;
-    RatedCandidate bestFaulty;
+    Comparison found;
+    auto improve = [](RatedCandidate& best, const RatedCandidate& rated) {
+        if (!best.record || rated.cost < best.cost)
+            best = rated;
+    };
+    auto drawn = drawAway(turn, candidates, request);
     for (auto record : candidates.all()) {
         auto standing = m_health.standing(record->id, turn.now());
         if (usability(*record, standing, request) != Usability::Usable || isQueueTooLong(*record, request, turn.now()))
             continue;
         RatedCandidate rated { record, comparisonCost(turn, *record, standing, request), isOwnZone(*record) };
         bool isFaulty = isProbablyFaulty(*record, request, turn.now());
-        if (isFaulty && isTrialDue(*record, request, turn.now()))
-            return rated;
-        auto& best = isFaulty ? bestFaulty : bestHealthy;
-        if (!best.record || rated.cost < best.cost)
-            best = rated;
+        if (isFaulty && isTrialDue(*record, request, turn.now())) {
+            found.trial = rated;
+            return found;
+        }
+        improve(isFaulty ? found.faulty : rated.isOwnZone ? found.home
+                                                          : found.away,
+            rated);
+        if (!isFaulty && std::ranges::find(drawn, record) != drawn.end())
+            improve(found.drawnAway, rated);
+    }
+    return found;
+}
+
+template <MembershipView Members>
+typename Router<Members>::RatedCandidate Router<Members>::chooseByComparison(Turn& turn, const CandidateList& candidates, const RouteRequest& request)
+{
+    auto found = compare(turn, candidates, request);
+    if (found.trial.record)
+        return found.trial;
+    if (!found.home.record && !found.away.record) {
+        found.faulty.isLastResort = true;
+        return found.faulty;
+    }
+    if (weighsCrossing(candidates, request) && found.away.record)
+        return chooseZone(turn, candidates, found, request);
+    bool isAway = !found.home.record || (found.away.record && found.away.cost < found.home.cost);
+    return isAway ? found.away : found.home;
+}
+
+template <MembershipView Members>
+bool Router<Members>::weighsCrossing(const CandidateList& candidates, const RouteRequest& request) const
+{
+    auto adaptiveFrom = m_profiles.profile(m_registry.profileOf(request.service)).placement.adaptiveCrossingFrom;
+    bool isFar = candidates.extraRoundTrip() && *candidates.extraRoundTrip() >= adaptiveFrom;
+    return adaptiveFrom > Duration::zero() && isFar && candidates.own().size() >= ZoneCrossing::minimumOwnBackends;
+}
+
+template <MembershipView Members>
+std::vector<const BackendRecord*> Router<Members>::drawAway(Turn& turn, const CandidateList& candidates, const RouteRequest& request) const
+{
+    std::vector<const BackendRecord*> drawn;
+    if (weighsCrossing(candidates, request))
+        std::ranges::sample(candidates.other(), std::back_inserter(drawn), ZoneCrossing::awayDraws, turn.random());
+    return drawn;
+}
+
+template <MembershipView Members>
+std::optional<Duration> Router<Members>::shortestExtraRoundTrip(const std::vector<const BackendRecord*>& others) const
+{
+    auto home = m_members.roundTripTo(m_members.self().zone);
+    std::optional<Duration> shortest;
+    for (const auto* record : others) {
+        auto member = m_members.find(record->sidecar);
+        auto away = member ? m_members.roundTripTo(member->zone) : std::nullopt;
+        if (home && away && (!shortest || *away - *home < *shortest))
+            shortest = *away - *home;
+    }
+    return shortest;
+}
+
+template <MembershipView Members>
+typename Router<Members>::RatedCandidate Router<Members>::chooseZone(Turn& turn, const CandidateList& candidates, const Comparison& found, const RouteRequest& request)
+{
+    const auto& away = found.drawnAway.record ? found.drawnAway : found.away;
+    if (!found.home.record) {
+        ++m_crossings.lacking;
+        return away;
     }
-    if (bestHealthy.record)
-        return bestHealthy;
-    bestFaulty.isLastResort = true;
-    return bestFaulty;
+    // The fixed cost of crossing is left out: the decision weighs the distance itself.
+    auto fixedCost = m_profiles.profile(m_registry.profileOf(request.service)).placement.zoneCrossingCost;
+    CrossingTerms terms { found.home.cost, away.cost - fixedCost, *candidates.extraRoundTrip(), request.latencyObjective, m_loads.usualServiceTime(*found.home.record) };
+    bool isLeaving = std::uniform_real_distribution<double>(0, 1)(turn.random()) < ZoneCrossing::shareLeaving(terms);
+    ++(isLeaving ? m_crossings.left : m_crossings.stayed);
+    return isLeaving ? away : found.home;
 }
 
 template <MembershipView Members>
--- /dev/null
+++ b/Libraries/LibDecision/Routing/ZoneCrossing.cpp
@@ -0,0 +1,27 @@
+#include <LibDecision/Routing/ZoneCrossing.h>
+
+#include <algorithm>
+
+namespace Decision {
+
+static Duration partOfSlack(const CrossingTerms& terms, double share)
+{
+    auto slack = std::max(Duration::zero(), terms.latencyObjective - terms.usualServiceTime);
+    return std::chrono::duration_cast<Duration>(slack * share);
+}
+
+Duration ZoneCrossing::toleratedGap(const CrossingTerms& terms) { return partOfSlack(terms, toleratedShareOfSlack); }
+
+double ZoneCrossing::shareLeaving(const CrossingTerms& terms)
+{
+    auto gap = terms.homeCost - terms.awayCost - terms.extraRoundTrip;
+    auto tolerated = toleratedGap(terms);
+    if (gap <= tolerated)
+        return 0;
+    auto growth = partOfSlack(terms, growthShareOfSlack);
+    if (growth <= Duration::zero())
+        return 1;
+    return std::min(1.0, std::chrono::duration<double>(gap - tolerated) / growth);
+}
+
+}
--- a/Libraries/LibModel/Profile.cpp
+++ b/Libraries/LibModel/Profile.cpp
@@ -97,6 +97,7 @@
     {
         PlacementPolicy policy;
         policy.zoneCrossingCost = reader.duration("zone-crossing-cost", 0s, 10s, policy.zoneCrossingCost);
+        policy.adaptiveCrossingFrom = reader.duration("adaptive-crossing-from", 0s, 10s, policy.adaptiveCrossingFrom);
         reader.finish();
         return policy;
     }
@@ -265,7 +266,8 @@
     SectionWriter(emitter, "fairness")
         .entry("maximum-account-share", profile.fairness.maximumAccountShare);
     SectionWriter(emitter, "placement")
-        .entry("zone-crossing-cost", DurationText(profile.placement.zoneCrossingCost));
+        .entry("zone-crossing-cost", DurationText(profile.placement.zoneCrossingCost))
+        .entry("adaptive-crossing-from", DurationText(profile.placement.adaptiveCrossingFrom));
     SectionWriter(emitter, "lifecycle")
         .entry("drain-bound", DurationText(profile.lifecycle.drainBound))
         .entry("drain-timeout", DurationText(profile.lifecycle.drainTimeout))
--- a/Libraries/LibModel/Profile.h
+++ b/Libraries/LibModel/Profile.h
@@ -117,6 +117,9 @@
 struct PlacementPolicy {
     // How much longer the same zone's expected wait may be before another zone is chosen.
     Duration zoneCrossingCost { 2ms };
+    // Where a round trip to another zone takes at least this much longer than within the zone, the share of requests that
+    // leave follows the gap between the zones instead of the fixed cost; 0 is never.
+    Duration adaptiveCrossingFrom { 0ms };
 };
 
 struct LifecyclePolicy {
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -55,6 +55,9 @@
     FirstArrivals,
     RetryArrivals,
     CountedArrivals,
+    ZoneStays,
+    ZoneCrossings,
+    ZoneLacks,
 };
 
 }
@@ -101,6 +104,9 @@
         EnumName { Telemetry::Total::FirstArrivals, "fulmar_first_arrivals_total" },
         EnumName { Telemetry::Total::RetryArrivals, "fulmar_retry_arrivals_total" },
         EnumName { Telemetry::Total::CountedArrivals, "fulmar_counted_arrivals_total" },
+        EnumName { Telemetry::Total::ZoneStays, "fulmar_zone_stays_total" },
+        EnumName { Telemetry::Total::ZoneCrossings, "fulmar_zone_crossings_total" },
+        EnumName { Telemetry::Total::ZoneLacks, "fulmar_zone_lacks_total" },
     };
 };
 
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -334,6 +334,10 @@
     metrics.set(Total::FirstArrivals, arrivals.first);
     metrics.set(Total::RetryArrivals, arrivals.retries);
     metrics.set(Total::CountedArrivals, arrivals.countedAsRetry);
+    const auto& crossings = state.router().crossings();
+    metrics.set(Total::ZoneStays, crossings.stayed);
+    metrics.set(Total::ZoneCrossings, crossings.left);
+    metrics.set(Total::ZoneLacks, crossings.lacking);
     metrics.set(Total::LogLinesSuppressed, m_observability.log().suppressedLines());
     return metrics.prometheusText();
 }
--- a/Tests/LibDecision/Routing/FakeMembers.h
+++ b/Tests/LibDecision/Routing/FakeMembers.h
@@ -3,6 +3,7 @@
 #include "ServiceFixture.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -27,9 +28,15 @@
         return member == m_members.end() ? nullptr : &member->second;
     }
     bool isReachable(const InstanceId& instance) const { return !unreachable.contains(instance); }
+    std::optional<Duration> roundTripTo(const ZoneName& zone) const
+    {
+        auto distance = roundTrips.find(zone);
+        return distance == roundTrips.end() ? std::nullopt : std::optional(distance->second);
+    }
     const MemberRecord& self() const { return m_members.at(InstanceId("p-0")); }
 
     std::set<InstanceId> unreachable;
+    std::map<ZoneName, Duration> roundTrips;
 
 private:
     std::map<InstanceId, MemberRecord> m_members;
