--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -75,6 +75,9 @@
     MemoryRefusals,
     MemorySheds,
     ConnectionSheds,
+    ZoneStays,
+    ZoneCrossings,
+    ZoneLacks,
 };
 
 }
@@ -139,6 +142,9 @@
         EnumName { Telemetry::Total::MemoryRefusals, "fulmar_memory_refusals_total" },
         EnumName { Telemetry::Total::MemorySheds, "fulmar_memory_sheds_total" },
         EnumName { Telemetry::Total::ConnectionSheds, "fulmar_connection_sheds_total" },
+        EnumName { Telemetry::Total::ZoneStays, "fulmar_zone_stays_total" },
+        EnumName { Telemetry::Total::ZoneCrossings, "fulmar_zone_crossings_total" },
+        EnumName { Telemetry::Total::ZoneLacks, "fulmar_zone_lacks_total" },
     };
 };
 
