LibDecision: Count late answers to lease calls

A lease call without an answer is sent again after a sixth of the lease. Only the answer to the latest call counted, so a store that takes longer than that to answer never confirmed a lease.

HolderLease remembers the calls under way with the instants at which they were sent, and each answer proves the lease from its own call's sending. A second lease that was granted late expires unused. The purpose of the lease, which the platform shows, is a parameter now.

--- a/Libraries/LibDecision/Claims/HolderLease.cpp
+++ b/Libraries/LibDecision/Claims/HolderLease.cpp
@@ -13,11 +13,18 @@
     // The clocks of this process and of the platform may drift apart by the time to live divided by this.
     constexpr int marginDivisor = 10;
 
+    // What a call proves has ended once it is older than the time to live.
+    void forgetOverdue(std::map<PlatformTag, Instant>& calls, Instant now, Duration timeToLive)
+    {
+        std::erase_if(calls, [&](const auto& call) { return call.second + timeToLive <= now; });
+    }
+
 }
 
-HolderLease::HolderLease(const InstanceId& owner, Duration timeToLive)
+HolderLease::HolderLease(const InstanceId& owner, Duration timeToLive, std::string purpose)
     : m_owner(owner)
     , m_timeToLive(timeToLive)
+    , m_purpose(std::move(purpose))
 {
 }
 
@@ -25,18 +32,18 @@
 {
     if (m_isRevoked || !m_lease.isEmpty() || m_timer)
         return;
-    m_sentAt = turn.now();
-    m_pending = turn.callPlatform(GrantLease { m_timeToLive, "claims/" + m_owner.value() });
+    forgetOverdue(m_grants, turn.now(), m_timeToLive);
+    m_grants.emplace(turn.callPlatform(GrantLease { m_timeToLive, m_purpose + "/" + m_owner.value() }), turn.now());
     m_timer = turn.now() + m_timeToLive / retransmissionDivisor;
 }
 
 void HolderLease::revoke(Turn& turn)
 {
     m_isRevoked = true;
-    m_timer.reset();
-    m_validUntil = turn.now();
-    if (!m_lease.isEmpty())
-        turn.callPlatform(RevokeLease { std::exchange(m_lease, {}) });
+    auto lease = m_lease;
+    clear(turn.now());
+    if (!lease.isEmpty())
+        turn.callPlatform(RevokeLease { std::move(lease) });
 }
 
 void HolderLease::handleTimer(Turn& turn)
@@ -44,54 +51,69 @@
     if (!m_timer || *m_timer > turn.now())
         return;
     m_timer.reset();
-    if (m_lease.isEmpty())
-        return;
-    m_sentAt = turn.now();
-    m_pending = turn.callPlatform(RenewLease { m_lease });
+    if (!m_lease.isEmpty())
+        sendRenewal(turn);
+}
+
+void HolderLease::sendRenewal(Turn& turn)
+{
+    forgetOverdue(m_renewals, turn.now(), m_timeToLive);
+    m_renewals.emplace(turn.callPlatform(RenewLease { m_lease }), turn.now());
     m_timer = turn.now() + m_timeToLive / retransmissionDivisor;
 }
 
 bool HolderLease::handleReply(Turn& turn, const PlatformReply& reply, Change& change)
 {
     change = Change::None;
-    if (m_pending == PlatformTag() || reply.tag != m_pending)
+    if (auto renewal = m_renewals.extract(reply.tag)) {
+        change = handleRenewal(turn, reply, renewal.mapped());
+        return true;
+    }
+    auto grant = m_grants.extract(reply.tag);
+    if (!grant)
         return false;
-    m_pending = {};
     if (!m_isRevoked)
-        change = m_lease.isEmpty() ? handleGrant(reply) : handleRenewal(turn, reply);
+        change = handleGrant(reply, grant.mapped());
     return true;
 }
 
-HolderLease::Change HolderLease::handleGrant(const PlatformReply& reply)
+HolderLease::Change HolderLease::handleGrant(const PlatformReply& reply, Instant sentAt)
 {
-    // If the platform granted a lease but its reply is lost, that lease expires unused. The timer limits how often
-    // another one is requested.
-    if (reply.status != PlatformStatus::Done || reply.lease.isEmpty())
+    // A lease that was granted after another one, or whose reply is lost, expires unused. The timer limits how often one
+    // is requested.
+    if (reply.status != PlatformStatus::Done || reply.lease.isEmpty() || !m_lease.isEmpty())
         return Change::None;
     m_lease = reply.lease;
-    extend();
+    extend(sentAt);
     return Change::Granted;
 }
 
-HolderLease::Change HolderLease::handleRenewal(Turn& turn, const PlatformReply& reply)
+HolderLease::Change HolderLease::handleRenewal(Turn& turn, const PlatformReply& reply, Instant sentAt)
 {
     if (reply.status == PlatformStatus::NoAnswer)
         return Change::None;
     if (reply.status == PlatformStatus::Done) {
         bool wasValid = isValid(turn.now());
-        extend();
+        extend(sentAt);
         return wasValid ? Change::None : Change::RenewedAfterExpiry;
     }
+    clear(turn.now());
+    return Change::Lost;
+}
+
+void HolderLease::clear(Instant now)
+{
     m_lease = {};
-    m_validUntil = turn.now();
+    m_renewals.clear();
+    m_validUntil = now;
     m_timer.reset();
-    return Change::Lost;
 }
 
-void HolderLease::extend()
+void HolderLease::extend(Instant sentAt)
 {
-    m_validUntil = std::max(m_validUntil, m_sentAt + m_timeToLive - m_timeToLive / marginDivisor);
-    m_timer = m_sentAt + m_timeToLive / renewalDivisor;
+    m_provenAt = std::max(m_provenAt, sentAt);
+    m_validUntil = m_provenAt + m_timeToLive - m_timeToLive / marginDivisor;
+    m_timer = m_provenAt + m_timeToLive / renewalDivisor;
 }
 
 }
--- a/Libraries/LibDecision/Claims/HolderLease.h
+++ b/Libraries/LibDecision/Claims/HolderLease.h
@@ -2,7 +2,9 @@
 
 #include <LibDecision/Turn.h>
 
+#include <map>
 #include <optional>
+#include <string>
 
 namespace Decision {
 
@@ -21,7 +23,8 @@
         Lost,
     };
 
-    HolderLease(const InstanceId& owner, Duration timeToLive);
+    // The platform shows the purpose to operators.
+    HolderLease(const InstanceId& owner, Duration timeToLive, std::string purpose = "claims");
 
     // Requests a lease if there is none.
     void ensure(Turn&);
@@ -34,26 +37,33 @@
     bool handleReply(Turn&, const PlatformReply&, Change&);
 
     // Returns true while a call to the platform awaits its reply.
-    bool isPending() const { return m_pending != PlatformTag(); }
+    bool isPending() const { return !m_grants.empty() || !m_renewals.empty(); }
     // Empty if there is no lease.
     const PlatformLease& lease() const { return m_lease; }
     bool isValid(Instant now) const { return !m_lease.isEmpty() && now < m_validUntil; }
     // Returns the remaining validity, zero if the lease isn't valid.
     Duration remaining(Instant now) const { return isValid(now) ? m_validUntil - now : Duration(0); }
     Duration timeToLive() const { return m_timeToLive; }
+    // When the latest call that the platform confirmed was sent.
+    Instant provenAt() const { return m_provenAt; }
 
 private:
-    Change handleGrant(const PlatformReply&);
-    Change handleRenewal(Turn&, const PlatformReply&);
-    void extend();
+    Change handleGrant(const PlatformReply&, Instant sentAt);
+    Change handleRenewal(Turn&, const PlatformReply&, Instant sentAt);
+    void sendRenewal(Turn&);
+    void extend(Instant sentAt);
+    void clear(Instant now);
 
     InstanceId m_owner;
     Duration m_timeToLive;
     PlatformLease m_lease;
     Instant m_validUntil;
-    // The call that awaits its reply; 0 if there is none.
-    PlatformTag m_pending;
-    Instant m_sentAt;
+    // The calls that await their replies, with the instants at which they were sent. A slow platform may answer after the
+    // next one was sent.
+    std::map<PlatformTag, Instant> m_grants;
+    std::map<PlatformTag, Instant> m_renewals;
+    Instant m_provenAt;
+    std::string m_purpose;
     bool m_isRevoked { false };
     std::optional<Instant> m_timer;
 };
