LibDecision: Keep the quotas of tenants over all processes

Callers of a tenant with a quota weren't limited at all. An equal split over 100 processes would give a tenant with callers at one of them 1% of its quota.

Tenants are hashed to 64 partitions. For each, one process binds a key in the store to its lease and has the token buckets in memory; an ingress asks it for a token for each request. A token counts within 500 ms of the question, and a holder grants only while its lease is proven for longer than that, so buckets of successive holders never overlap; they begin empty. Suspended time is told by messages and calls. After a rise of the store's era, nobody grants for a lease time. Calls without a token get quota-exceeded with the next due time, or quota-unavailable after 400 ms.

The tenant is searched by key digest in the table, until the lookup of keys sets the account (marked FIXME).

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -297,6 +297,45 @@
     archive.field("table", value.table);
 }
 
+template <typename Archive>
+void describe(Archive& archive, QuotaNeed& value)
+{
+    archive.field("tenant", value.tenant);
+    archive.optionalField("tokens", value.tokens);
+    archive.optionalField("tokensAhead", value.tokensAhead);
+}
+
+template <typename Archive>
+void describe(Archive& archive, QuotaRequest& value)
+{
+    archive.field("sequence", value.sequence);
+    archive.field("partition", value.partition);
+    archive.field("needs", value.needs);
+    archive.optionalField("wantsHandover", value.wantsHandover);
+}
+
+template <typename Archive>
+void describe(Archive& archive, QuotaGrant& value)
+{
+    archive.field("tenant", value.tenant);
+    archive.optionalField("tokens", value.tokens);
+    archive.optionalField("tokensAhead", value.tokensAhead);
+    archive.optionalField("isUnlimited", value.isUnlimited);
+    archive.optionalField("nextToken", value.nextToken);
+    archive.optionalField("retryAfter", value.retryAfter);
+}
+
+template <typename Archive>
+void describe(Archive& archive, QuotaReply& value)
+{
+    archive.field("sequence", value.sequence);
+    archive.field("requesterIncarnation", value.requesterIncarnation);
+    archive.field("partition", value.partition);
+    archive.field("isHolder", value.isHolder);
+    archive.optionalField("holder", value.holder);
+    archive.field("grants", value.grants);
+}
+
 template <typename Archive>
 void describe(Archive& archive, BackendCondition& value)
 {
@@ -339,5 +378,7 @@
 inline const char* kindOf(const ClaimHandover&) { return "claim-handover"; }
 inline const char* kindOf(const RouteTableRequest&) { return "route-table-request"; }
 inline const char* kindOf(const RouteTablePart&) { return "route-table-part"; }
+inline const char* kindOf(const QuotaRequest&) { return "quota-request"; }
+inline const char* kindOf(const QuotaReply&) { return "quota-reply"; }
 
 }
--- a/Libraries/LibDecision/Calls/CallRecord.h
+++ b/Libraries/LibDecision/Calls/CallRecord.h
@@ -20,6 +20,8 @@
     Instant arrivedAt;
     Instant deadline;
     CallTerms terms;
+    // When the caller may try again, if it is refused for a reason that gives a time; otherwise zero.
+    Duration retryAfter { 0 };
     // Number of attempts so far, without those that were rerouted.
     uint32_t attempts { 0 };
     // The current attempt.
--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -81,7 +81,8 @@
 
     void arrive(Turn&, const CallArrived&);
     // Refuses the request immediately with "not run".
-    void refuse(Turn&, const CallArrived&, Reason);
+    // Without a time to return, the reason determines it.
+    void refuse(Turn&, const CallArrived&, Reason, Duration retryAfter = Duration::zero());
     void callerGone(Turn&, CallId);
     void attemptFinished(Turn&, const AttemptFinished&);
     // The process will end at this instant. From this call on, no attempt is given up for another one, and none is begun
@@ -92,6 +93,7 @@
     // Tells the outcome of every request in flight, because the process ends now: one that waits wasn't run.
     void endAll(Turn&);
 
+    bool isLeaving() const { return m_isLeaving; }
     size_t inFlight() const { return m_calls.size(); }
     // Returns the requests of which a nested call failed since the last call of this function.
     std::vector<RequestId> takeFailedParents() { return std::exchange(m_failedParents, {}); }
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -78,11 +78,12 @@
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
-void CallTable<Routing, Observer, Directory>::refuse(Turn& turn, const CallArrived& arrival, Reason reason)
+void CallTable<Routing, Observer, Directory>::refuse(Turn& turn, const CallArrived& arrival, Reason reason, Duration retryAfter)
 {
     CallRecord record;
     record.request = arrival.request;
     record.lastReason = reason;
+    record.retryAfter = retryAfter;
     sendRefusal(turn, arrival.call, record, Outcome::NotRun);
 }
 
@@ -592,6 +593,8 @@
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 Duration CallTable<Routing, Observer, Directory>::retryAfterOf(const CallRecord& call, Instant now) const
 {
+    if (call.retryAfter > Duration::zero())
+        return call.retryAfter;
     if (call.lastReason == Reason::BackendLimited)
         return std::clamp<Duration>(m_routing.limitWait(call.request.service, now), shortestLimitHint, longestLimitHint);
     return isTransient(call.lastReason) ? retryAfterHint : Duration::zero();
--- a/Libraries/LibDecision/Configuration/RouteConfiguration.h
+++ b/Libraries/LibDecision/Configuration/RouteConfiguration.h
@@ -47,6 +47,7 @@
     bool isUsed() const { return m_mode == RoutingMode::RouteTable; }
     // Returns null if no table is in force yet.
     const RouteTable* table() const { return m_table.get(); }
+    const std::shared_ptr<const RouteTable>& sharedTable() const { return m_table; }
     // The highest version that a message of another process carried; 0 if none did.
     Revision newestHeard() const { return m_newestHeard; }
     // How long the pending watch has waited; zero without one.
--- a/Libraries/LibDecision/Input.h
+++ b/Libraries/LibDecision/Input.h
@@ -17,6 +17,8 @@
 
 struct MessageReceived {
     Message message;
+    // Time that the machine has spent suspended since its start, read after the message's bytes. Instants don't count it.
+    Duration suspendedTime { 0 };
 };
 
 // The instant returned by Node::nextTimer() has been reached.
--- a/Libraries/LibDecision/Membership/RecordSize.cpp
+++ b/Libraries/LibDecision/Membership/RecordSize.cpp
@@ -13,6 +13,8 @@
     constexpr size_t messageOverheadBytes = 450;
     constexpr size_t numberBytes = 21;
     constexpr size_t claimEntryBytes = 400;
+    constexpr size_t quotaNeedBytes = 90;
+    constexpr size_t quotaGrantBytes = 190;
 
     template <typename Tag>
     size_t length(const StrongString<Tag>& string)
@@ -103,6 +105,15 @@
         return size + part.table.services.size() * recordOverheadBytes;
     }
 
+    template <typename Item>
+    size_t sizeOfTenants(const std::vector<Item>& items, size_t itemBytes)
+    {
+        return std::transform_reduce(items.begin(), items.end(), size_t { 0 }, std::plus {}, [itemBytes](const Item& item) { return itemBytes + length(item.tenant); });
+    }
+
+    size_t bodySize(const QuotaRequest& request) { return 3 * numberBytes + sizeOfTenants(request.needs, quotaNeedBytes); }
+    size_t bodySize(const QuotaReply& reply) { return 5 * numberBytes + length(reply.holder) + sizeOfTenants(reply.grants, quotaGrantBytes); }
+
 }
 
 size_t jsonLength(std::string_view text)
--- a/Libraries/LibDecision/Message.h
+++ b/Libraries/LibDecision/Message.h
@@ -316,8 +316,59 @@
     bool operator==(const RouteTablePart&) const = default;
 };
 
+// Tokens that a process wants for requests of one tenant.
+struct QuotaNeed {
+    AccountId tenant;
+    // For requests that wait.
+    uint32_t tokens { 0 };
+    // For requests that are expected soon. Granted only if the bucket is at least half full.
+    uint32_t tokensAhead { 0 };
+
+    bool operator==(const QuotaNeed&) const = default;
+};
+
+// Asks the holder of a quota partition for tokens. A process that isn't the holder tries to become it.
+struct QuotaRequest {
+    uint64_t sequence { 0 };
+    uint32_t partition { 0 };
+    std::vector<QuotaNeed> needs;
+    // True if the sender, the first candidate for the partition, could take it over from the receiver.
+    bool wantsHandover { false };
+
+    bool operator==(const QuotaRequest&) const = default;
+};
+
+struct QuotaGrant {
+    AccountId tenant;
+    uint32_t tokens { 0 };
+    uint32_t tokensAhead { 0 };
+    // True if no quota is in force for the tenant; the sender of the request had an older route table.
+    bool isUnlimited { false };
+    // Time until the next token. Zero if nothing was refused.
+    Duration nextToken { 0 };
+    // When the first refused request should return. Later than the next token if earlier refusals were told to return
+    // for that one.
+    Duration retryAfter { 0 };
+
+    bool operator==(const QuotaGrant&) const = default;
+};
+
+struct QuotaReply {
+    uint64_t sequence { 0 };
+    // Incarnation of the process that sent the QuotaRequest.
+    Incarnation requesterIncarnation;
+    uint32_t partition { 0 };
+    bool isHolder { false };
+    // If the sender isn't the holder: the holder, as far as the sender knows; empty if it doesn't.
+    InstanceId holder;
+    std::vector<QuotaGrant> grants;
+
+    bool operator==(const QuotaReply&) const = default;
+};
+
 using MessageBody = std::variant<Ping, Ack, IndirectPing, IndirectAck, Gossip, Join, SyncDigest, SyncRecords,
-    ClaimRequest, ClaimReply, ClaimOutcome, ClaimHandover, RouteTableRequest, RouteTablePart>;
+    ClaimRequest, ClaimReply, ClaimOutcome, ClaimHandover, RouteTableRequest, RouteTablePart,
+    QuotaRequest, QuotaReply>;
 
 // A message and its sender. The driver authenticates the sender's incarnation before it passes the message to the core.
 struct Message {
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -29,6 +29,7 @@
     , m_claims(options.self, m_membership, m_registry, m_profiles)
     , m_admission(m_localBackends, m_profiles, m_crashGuard, m_claims, m_health)
     , m_calls(m_router, m_health, m_crashGuard, m_registry, m_profiles, { options.concurrentCalls })
+    , m_quotas(options.self, m_membership)
 {
     m_health.useReachability([this](const InstanceId& instance) { return m_membership.isReachable(instance); });
     m_admission.useServiceSize([this](const ServiceName& service) { return m_registry.backendsOf(service).size(); });
@@ -57,13 +58,15 @@
 {
     std::optional<Instant> next;
     for (auto candidate : { m_membership.nextTimer(), m_configuration.nextTimer(), m_routes.nextTimer(), m_localBackends.nextTimer(), m_health.nextTimer(),
-             m_orphanSweep.nextTimer(), m_crashGuard.nextTimer(), m_claims.nextTimer(), m_admission.nextTimer(), m_calls.nextTimer() })
+             m_orphanSweep.nextTimer(), m_crashGuard.nextTimer(), m_claims.nextTimer(), m_admission.nextTimer(), m_calls.nextTimer(), m_quotas.nextTimer() })
         next = earliest(next, candidate);
     return earliest(next, earliest(m_leaveNoticeEndsAt, m_leaveCheckAt));
 }
 
 EffectList NodeState::finishTurn(Turn& turn)
 {
+    m_quotas.setTable(turn, m_routes.sharedTable());
+    decideQuotas(turn);
     while (true) {
         auto decisions = m_claims.takeDecisions();
         for (const auto& decision : decisions)
@@ -96,6 +99,7 @@
         std::visit([&](const auto& record) { applyRecord(turn, record); }, rumor);
     m_claims.receive(turn, received.message);
     m_routes.receive(turn, received.message);
+    m_quotas.receive(turn, received.message, received.suspendedTime);
     const auto* digest = std::get_if<SyncDigest>(&received.message.body);
     if (digest && digest->wantsAnswer)
         tellCrashes(turn, received.message);
@@ -126,6 +130,7 @@
     fireIfDue(m_claims);
     fireIfDue(m_admission);
     fireIfDue(m_calls);
+    fireIfDue(m_quotas);
     if (*m_orphanSweep.nextTimer() <= turn.now())
         sweepOrphans(turn);
 }
@@ -152,10 +157,37 @@
     auto routed = arrived;
     if (auto reason = applyRoute(turn, routed))
         m_calls.refuse(turn, arrived, *reason);
+    else if (const auto* tenant = quotaTenantOf(routed))
+        m_quotas.arrive(turn, routed, *tenant);
     else
         m_calls.arrive(turn, routed);
 }
 
+const Tenant* NodeState::quotaTenantOf(CallArrived& arrived) const
+{
+    // Calls that running requests make were counted with those.
+    if (arrived.request.parent || !m_quotas.isActive() || m_calls.isLeaving())
+        return nullptr;
+    // FIXME: Remove the search once applyRoute() sets the account to the tenant's name.
+    const auto& tenants = m_routes.table()->tenants;
+    auto tenant = std::ranges::find_if(tenants, [&](const Tenant& candidate) {
+        return std::ranges::find(candidate.keyDigests, arrived.keyDigest) != candidate.keyDigests.end();
+    });
+    if (tenant != tenants.end())
+        arrived.request.account = tenant->name;
+    return m_quotas.find(arrived.request.account);
+}
+
+void NodeState::decideQuotas(Turn& turn)
+{
+    for (const auto& decision : m_quotas.takeDecisions()) {
+        if (decision.refusal)
+            m_calls.refuse(turn, decision.call, *decision.refusal, decision.retryAfter);
+        else
+            m_calls.arrive(turn, decision.call);
+    }
+}
+
 std::optional<Reason> NodeState::applyRoute(Turn& turn, CallArrived& arrived) const
 {
     if (!m_routes.table())
@@ -183,7 +215,12 @@
     return std::max(1U, m_admission.priorityOfRunning(*request.parent).value_or(priority)) - 1;
 }
 
-void NodeState::receive(Turn& turn, const CallerDisconnected& gone) { m_calls.callerGone(turn, gone.call); }
+void NodeState::receive(Turn& turn, const CallerDisconnected& gone)
+{
+    m_quotas.callerGone(gone.call);
+    m_calls.callerGone(turn, gone.call);
+}
+
 void NodeState::receive(Turn& turn, const AttemptFinished& finished)
 {
     bool isPathInDoubt = finished.report.result == AttemptResult::NotSent || finished.report.result == AttemptResult::Stalled;
@@ -239,10 +276,12 @@
 void NodeState::receive(Turn& turn, const PlatformReplied& replied)
 {
     m_configuration.noteReply(turn, replied.reply);
+    m_quotas.noteReply(turn, replied.reply);
     if (m_routes.handleReply(turn, replied.reply))
         return;
     if (!m_configuration.handleReply(turn, replied.reply)) {
-        m_claims.handleReply(turn, replied.reply);
+        if (!m_quotas.handleReply(turn, replied.reply))
+            m_claims.handleReply(turn, replied.reply);
         return;
     }
     auto seeds = m_configuration.takeSeeds();
@@ -263,6 +302,7 @@
     m_admission.leave(turn);
     m_localBackends.drainAll(turn);
     m_claims.leave(turn);
+    m_quotas.leave(turn);
     m_membership.leave(turn);
     turn.recordDecision({ DecisionKind::Leaving, "leave", "local", {}, {}, {}, {}, {}, std::to_string(m_calls.inFlight()) + " calls and " + std::to_string(m_admission.inFlight()) + " runs in flight" });
 }
@@ -328,7 +368,7 @@
         return;
     endLeaveNotice(turn);
     auto since = turn.now() - *m_leavingSince;
-    bool isIdle = m_calls.inFlight() == 0 && m_admission.inFlight() == 0 && m_claims.isIdle();
+    bool isIdle = m_calls.inFlight() == 0 && m_admission.inFlight() == 0 && m_claims.isIdle() && m_quotas.isIdle();
     bool isTimedOut = since >= m_leaveTimeout;
     if (!isTimedOut && (!isIdle || m_leaveNoticeEndsAt || since < minimumLeaveTime)) {
         if (turn.now() >= *m_leaveCheckAt)
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -9,6 +9,7 @@
 #include <LibDecision/Health/Health.h>
 #include <LibDecision/Membership/Membership.h>
 #include <LibDecision/Node.h>
+#include <LibDecision/Quotas/Quotas.h>
 #include <LibDecision/Registry/BackendRegistry.h>
 #include <LibDecision/Registry/LocalBackends.h>
 #include <LibDecision/Registry/OrphanSweep.h>
@@ -25,6 +26,7 @@
 public:
     using NodeRouter = Router<Membership>;
     using NodeClaims = Claims<Membership, BackendRegistry>;
+    using NodeQuotas = Quotas<Membership>;
     using NodeAdmission = SidecarAdmission<NodeClaims, Health>;
     using NodeCalls = CallTable<NodeRouter, Health>;
 
@@ -45,6 +47,7 @@
     const Health& health() const { return m_health; }
     const NodeAdmission& admission() const { return m_admission; }
     const NodeCalls& calls() const { return m_calls; }
+    const NodeQuotas& quotas() const { return m_quotas; }
     bool isLeaving() const { return m_leavingSince.has_value(); }
 
 private:
@@ -54,6 +57,10 @@
     void receive(Turn&, const CallArrived&);
     // Sets the request's service and terms from the route table. Returns the reason for refusal if no route applies.
     std::optional<Reason> applyRoute(Turn&, CallArrived&) const;
+    // Returns the tenant whose quota the call uses; null if it uses none.
+    const Tenant* quotaTenantOf(CallArrived&) const;
+    // Passes on the calls whose wait for a token has ended.
+    void decideQuotas(Turn&);
     // Returns the priority of a request of this route among those that wait for a slot; 0 is the most urgent.
     uint32_t priorityOf(const Route&, const RequestInfo&) const;
     void receive(Turn&, const CallerDisconnected&);
@@ -108,6 +115,7 @@
     NodeClaims m_claims;
     NodeAdmission m_admission;
     NodeCalls m_calls;
+    NodeQuotas m_quotas;
     std::optional<Instant> m_leavingSince;
     std::optional<Instant> m_leaveNoticeEndsAt;
     // When to check next whether the process can leave.
--- a/Tests/LibControl/MessageGenerators.h
+++ b/Tests/LibControl/MessageGenerators.h
@@ -84,7 +84,7 @@
 inline MessageBody anyBody()
 {
     auto sequence = *rc::gen::arbitrary<uint64_t>();
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 14)) {
     case 0:
         return Ping { sequence, anyRumors() };
     case 1:
@@ -107,6 +107,10 @@
         return ClaimReply { sequence, *anyNumber<Incarnation>(), anyEnumValue<ClaimVerdict>(), Duration(7), *anyNumber<ClaimEpoch>(), *anyName<InstanceId>() };
     case 10:
         return ClaimOutcome { sequence, *anyName<ServiceName>(), 2, *anyName<AccountId>(), *anyName<IdempotencyKey>(), *anyName<RequestId>(), anyEnumValue<Outcome>() };
+    case 11:
+        return QuotaRequest { sequence, 5, { { *anyName<AccountId>(), 2, 3 } }, *rc::gen::arbitrary<bool>() };
+    case 12:
+        return QuotaReply { sequence, *anyNumber<Incarnation>(), 6, *rc::gen::arbitrary<bool>(), *anyName<InstanceId>(), { { *anyName<AccountId>(), 1, 2, *rc::gen::arbitrary<bool>(), Duration(8), Duration(9) } } };
     default:
         return ClaimHandover { *anyName<ServiceName>(), 1, *anyNumber<ClaimEpoch>(), 4, *rc::gen::arbitrary<bool>(), { anyClaimEntry() } };
     }
--- /dev/null
+++ b/Tests/LibDecision/Quotas/TestQuotaBuckets.cpp
@@ -0,0 +1,80 @@
+#include <LibDecision/Quotas/QuotaHolder.h>
+
+#include <gtest/gtest.h>
+
+using namespace Decision;
+
+namespace {
+
+Tenant makeTenant(double rate, double burst) { return { .name = AccountId("hotel"), .requestsPerSecond = rate, .burst = burst }; }
+
+const Instant start { 100s };
+
+uint32_t take(QuotaBuckets& buckets, Duration at, const Tenant& tenant, uint32_t wanted)
+{
+    return buckets.take(start + at, tenant, { tenant.name, wanted, 0 }).tokens;
+}
+
+}
+
+// A new holder doesn't know what the earlier one granted. With full buckets, each change of holder would grant a burst.
+TEST(QuotaBuckets, BeginEmptyAndFillUpToTheBurst)
+{
+    QuotaBuckets buckets(start);
+    auto tenant = makeTenant(10, 40);
+    EXPECT_EQ(take(buckets, 0s, tenant, 1), 0u);
+    EXPECT_EQ(take(buckets, 1s, tenant, 100), 10u);
+    EXPECT_EQ(take(buckets, 60s, tenant, 100), 40u);
+}
+
+// Tokens that were kept under an earlier, higher quota would exceed the new one for a whole burst.
+TEST(QuotaBuckets, ALoweredQuotaAppliesAtOnce)
+{
+    QuotaBuckets buckets(start);
+    EXPECT_EQ(take(buckets, 60s, makeTenant(10, 100), 1), 1u);
+    EXPECT_EQ(take(buckets, 60s, makeTenant(2, 10), 100), 10u);
+    EXPECT_EQ(take(buckets, 62s, makeTenant(2, 10), 100), 4u);
+}
+
+// Callers that were all told the same instant would return together.
+TEST(QuotaBuckets, RefusedCallersAreToldToReturnOneAfterTheOther)
+{
+    QuotaBuckets buckets(start);
+    auto tenant = makeTenant(10, 10);
+    auto first = buckets.take(start, tenant, { tenant.name, 3, 0 });
+    auto second = buckets.take(start, tenant, { tenant.name, 1, 0 });
+    EXPECT_EQ(first.nextToken, 100ms);
+    EXPECT_EQ(first.retryAfter, 100ms);
+    EXPECT_EQ(second.nextToken, 100ms);
+    EXPECT_EQ(second.retryAfter, 400ms);
+    for (int refused = 0; refused < 200; ++refused)
+        EXPECT_LE(buckets.take(start, tenant, { tenant.name, 1, 0 }).retryAfter, longestQuotaReturn);
+}
+
+// Tokens ahead that expire unused are lost to the tenant.
+TEST(QuotaBuckets, GrantTokensAheadOnlyWhileThereArePlenty)
+{
+    QuotaBuckets buckets(start);
+    auto tenant = makeTenant(10, 40);
+    EXPECT_EQ(buckets.take(start + 1s, tenant, { tenant.name, 1, 5 }).tokensAhead, 0u);
+    EXPECT_EQ(buckets.take(start + 60s, tenant, { tenant.name, 1, 100 }).tokensAhead, 19u);
+}
+
+// Requests of a window of 5 s take tokens that were granted within 5.5 s only if no token is used earlier or later.
+TEST(QuotaTerms, NoTokenIsUsedAfterTheLeaseThatItWasGrantedUnder)
+{
+    static_assert(quotaWait + tokenAheadValidity == tokenValidity);
+    static_assert(grantMargin > tokenValidity + suspensionTolerance);
+    // The lease is renewed every third of its time, and its proof is a tenth shorter.
+    static_assert(quotaLeaseTime - quotaLeaseTime / 10 - grantMargin > quotaLeaseTime / 3);
+}
+
+TEST(SuspensionClock, NoticesSuspensionsThatAddUp)
+{
+    SuspensionClock clock;
+    EXPECT_FALSE(clock.observe(40ms));
+    EXPECT_TRUE(clock.observe(60ms));
+    EXPECT_FALSE(clock.observe(60ms));
+    EXPECT_TRUE(clock.observe(10s));
+    EXPECT_EQ(clock.at(start), start + 10s);
+}
