fulmard: Tell the suspended time, and the metrics and statuses of quotas

Messages and calls bring CLOCK_BOOTTIME minus the steady clock, read after their bytes, so that no token and no lease is used beyond its time after the machine was suspended.

quota-exceeded is 429 under both status schemes, quota-unavailable 503. The metrics fulmar_quota_* count tokens, calls, questions and round trips.

fulmard builds; TestQuotas tests what follows from suspended times. No run of real processes with quotas was made.

--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -40,6 +40,7 @@
     RoutesVersion,
     RoutesNewestVersionHeard,
     RoutesWatchSeconds,
+    QuotaPartitionsHeld,
 };
 
 // Totals that other parts count themselves; they are set to their current value.
@@ -55,6 +56,16 @@
     FirstArrivals,
     RetryArrivals,
     CountedArrivals,
+    // The holder's side.
+    QuotaTokensGranted,
+    QuotaTokensRefused,
+    // The ingress's side.
+    QuotaCallsPassed,
+    QuotaCallsExceeded,
+    QuotaCallsUnavailable,
+    QuotaQuestions,
+    QuotaAnswers,
+    QuotaRoundTripMicroseconds,
 };
 
 }
@@ -84,6 +95,7 @@
         EnumName { Telemetry::Gauge::RoutesVersion, "fulmar_routes_version" },
         EnumName { Telemetry::Gauge::RoutesNewestVersionHeard, "fulmar_routes_newest_version_heard" },
         EnumName { Telemetry::Gauge::RoutesWatchSeconds, "fulmar_routes_watch_seconds" },
+        EnumName { Telemetry::Gauge::QuotaPartitionsHeld, "fulmar_quota_partitions_held" },
     };
 };
 
@@ -101,6 +113,14 @@
         EnumName { Telemetry::Total::FirstArrivals, "fulmar_first_arrivals_total" },
         EnumName { Telemetry::Total::RetryArrivals, "fulmar_retry_arrivals_total" },
         EnumName { Telemetry::Total::CountedArrivals, "fulmar_counted_arrivals_total" },
+        EnumName { Telemetry::Total::QuotaTokensGranted, "fulmar_quota_tokens_granted_total" },
+        EnumName { Telemetry::Total::QuotaTokensRefused, "fulmar_quota_tokens_refused_total" },
+        EnumName { Telemetry::Total::QuotaCallsPassed, "fulmar_quota_calls_passed_total" },
+        EnumName { Telemetry::Total::QuotaCallsExceeded, "fulmar_quota_calls_exceeded_total" },
+        EnumName { Telemetry::Total::QuotaCallsUnavailable, "fulmar_quota_calls_unavailable_total" },
+        EnumName { Telemetry::Total::QuotaQuestions, "fulmar_quota_questions_total" },
+        EnumName { Telemetry::Total::QuotaAnswers, "fulmar_quota_answers_total" },
+        EnumName { Telemetry::Total::QuotaRoundTripMicroseconds, "fulmar_quota_round_trip_microseconds_total" },
     };
 };
 
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <LibControl/Compression.h>
 #include <LibDecision/NodeState.h>
+#include <LibTransport/SuspendedTime.h>
 #include <Services/fulmard/ClientOutcome.h>
 
 #include <algorithm>
@@ -234,7 +235,7 @@
     try {
         auto signature = Transport::findHeader(request.headers, signatureHeader).value_or("");
         auto message = m_channel.open({ request.body, std::string(signature) });
-        m_driver.handle(Decision::MessageReceived { std::move(message) });
+        m_driver.handle(Decision::MessageReceived { std::move(message), Transport::suspendedTime() });
         m_controlServer.respond(id, { 204, {}, "" });
     } catch (const Control::ControlError& error) {
         respondControl(id, 403, error.what());
@@ -334,6 +335,17 @@
     metrics.set(Total::FirstArrivals, arrivals.first);
     metrics.set(Total::RetryArrivals, arrivals.retries);
     metrics.set(Total::CountedArrivals, arrivals.countedAsRetry);
+    const auto& holder = state.quotas().holder();
+    metrics.set(Gauge::QuotaPartitionsHeld, static_cast<double>(holder.heldCount()));
+    metrics.set(Total::QuotaTokensGranted, holder.counters().tokensGranted + holder.counters().tokensGrantedAhead);
+    metrics.set(Total::QuotaTokensRefused, holder.counters().tokensRefused);
+    const auto& quotas = state.quotas().requester().counters();
+    metrics.set(Total::QuotaCallsPassed, quotas.passed);
+    metrics.set(Total::QuotaCallsExceeded, quotas.exceeded);
+    metrics.set(Total::QuotaCallsUnavailable, quotas.unavailable);
+    metrics.set(Total::QuotaQuestions, quotas.questions);
+    metrics.set(Total::QuotaAnswers, quotas.answeredQuestions);
+    metrics.set(Total::QuotaRoundTripMicroseconds, static_cast<uint64_t>(quotas.roundTrips / 1us));
     metrics.set(Total::LogLinesSuppressed, m_observability.log().suppressedLines());
     return metrics.prometheusText();
 }
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -1,5 +1,6 @@
 #include <Services/fulmard/IngressCalls.h>
 
+#include <LibTransport/SuspendedTime.h>
 #include <Services/fulmard/ClientOutcome.h>
 
 #include <algorithm>
@@ -105,7 +106,7 @@
     span->SetTag("service", info.service.value());
     auto shared = std::make_shared<const Transport::HttpRequest>(std::move(request));
     m_calls.emplace(m_lastId, Call { serverRequest, info, std::move(shared), m_parties.now(), std::move(span), {} });
-    m_parties.sink(Decision::CallArrived { m_lastId, std::move(info), authority, std::nullopt });
+    m_parties.sink(Decision::CallArrived { m_lastId, std::move(info), authority, std::nullopt, {}, Transport::suspendedTime() });
 }
 
 void IngressCalls::callerGone(Transport::ServerRequestId serverRequest)
--- a/Services/fulmard/ProblemDetails.cpp
+++ b/Services/fulmard/ProblemDetails.cpp
@@ -18,6 +18,7 @@
 
     constexpr uint16_t serviceUnavailable = 503;
     constexpr uint16_t badGateway = 502;
+    constexpr uint16_t tooManyRequests = 429;
 
     // Reasons with a status of their own; the others follow the outcome.
     constexpr std::array reasonStatuses {
@@ -27,7 +28,8 @@
         ReasonStatus { Reason::BadRequest, 400 },
         ReasonStatus { Reason::DeadlineExceeded, 504 },
         ReasonStatus { Reason::NoProgress, 504 },
-        ReasonStatus { Reason::FairShareExceeded, 429 },
+        ReasonStatus { Reason::FairShareExceeded, tooManyRequests },
+        ReasonStatus { Reason::QuotaExceeded, tooManyRequests },
         ReasonStatus { Reason::KeyInProgress, 409 },
         ReasonStatus { Reason::KeyAlreadyUsed, 422 },
         ReasonStatus { Reason::KeyOutcomeUnknown, 409 },
@@ -41,7 +43,7 @@
     {
         constexpr uint16_t gatewayTimeout = 504;
         if (outcome == Outcome::NotRun)
-            return serviceUnavailable;
+            return reason == Reason::QuotaExceeded ? tooManyRequests : serviceUnavailable;
         bool isLate = reason == Reason::DeadlineExceeded || reason == Reason::NoProgress;
         return isLate ? gatewayTimeout : badGateway;
     }
