--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -317,6 +317,45 @@
     archive.optionalField("era", value.era);
 }
 
+template <typename Archive>
+void describe(Archive& archive, QuotaNeed& value)
+{
+    archive.field("tenant", value.tenant);
+    archive.optionalField("tokens", value.tokens);
+    archive.optionalField("tokensAhead", value.tokensAhead);
+}
+
+template <typename Archive>
+void describe(Archive& archive, QuotaRequest& value)
+{
+    archive.field("sequence", value.sequence);
+    archive.field("partition", value.partition);
+    archive.field("needs", value.needs);
+    archive.optionalField("wantsHandover", value.wantsHandover);
+}
+
+template <typename Archive>
+void describe(Archive& archive, QuotaGrant& value)
+{
+    archive.field("tenant", value.tenant);
+    archive.optionalField("tokens", value.tokens);
+    archive.optionalField("tokensAhead", value.tokensAhead);
+    archive.optionalField("isUnlimited", value.isUnlimited);
+    archive.optionalField("nextToken", value.nextToken);
+    archive.optionalField("retryAfter", value.retryAfter);
+}
+
+template <typename Archive>
+void describe(Archive& archive, QuotaReply& value)
+{
+    archive.field("sequence", value.sequence);
+    archive.field("requesterIncarnation", value.requesterIncarnation);
+    archive.field("partition", value.partition);
+    archive.field("isHolder", value.isHolder);
+    archive.optionalField("holder", value.holder);
+    archive.field("grants", value.grants);
+}
+
 template <typename Archive>
 void describe(Archive& archive, BackendCondition& value)
 {
@@ -361,5 +400,7 @@
 inline const char* kindOf(const RouteTablePart&) { return "route-table-part"; }
 inline const char* kindOf(const ConfigurationProofRequest&) { return "configuration-proof-request"; }
 inline const char* kindOf(const ConfigurationProofReply&) { return "configuration-proof-reply"; }
+inline const char* kindOf(const QuotaRequest&) { return "quota-request"; }
+inline const char* kindOf(const QuotaReply&) { return "quota-reply"; }
 
 }
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -33,6 +33,7 @@
     , m_claims(options.self, m_membership, m_registry, m_profiles)
     , m_admission(m_localBackends, m_profiles, m_crashGuard, m_claims, m_health)
     , m_calls(m_router, m_health, m_crashGuard, m_registry, m_profiles, { options.concurrentCalls })
+    , m_quotas(options.self, m_membership)
 {
     m_health.useReachability([this](const InstanceId& instance) { return m_membership.isReachable(instance); });
     m_admission.useServiceSize([this](const ServiceName& service) { return m_registry.backendsOf(service).size(); });
@@ -61,7 +62,7 @@
 {
     std::optional<Instant> next;
     for (auto candidate : { m_membership.nextTimer(), m_configuration.nextTimer(), m_routes.nextTimer(), m_configurationProof.nextTimer(), m_localBackends.nextTimer(), m_health.nextTimer(),
-             m_orphanSweep.nextTimer(), m_crashGuard.nextTimer(), m_claims.nextTimer(), m_admission.nextTimer(), m_calls.nextTimer() })
+             m_orphanSweep.nextTimer(), m_crashGuard.nextTimer(), m_claims.nextTimer(), m_admission.nextTimer(), m_calls.nextTimer(), m_quotas.nextTimer() })
         next = earliest(next, candidate);
     return earliest(next, earliest(m_leaveNoticeEndsAt, m_leaveCheckAt));
 }
@@ -69,6 +70,8 @@
 EffectList NodeState::finishTurn(Turn& turn)
 {
     m_configurationProof.update(turn);
+    m_quotas.setTable(turn, m_routes.sharedTable());
+    decideQuotas(turn);
     while (true) {
         auto decisions = m_claims.takeDecisions();
         for (const auto& decision : decisions)
@@ -104,6 +107,7 @@
     m_configurationProof.receive(turn, received.message);
     if (const auto* reply = std::get_if<ConfigurationProofReply>(&received.message.body); reply && m_configurationProof.isActive())
         m_routes.requestIfNewer(turn, received.message.from, received.message.fromControl, reply->version);
+    m_quotas.receive(turn, received.message, received.suspendedTime);
     const auto* digest = std::get_if<SyncDigest>(&received.message.body);
     if (digest && digest->wantsAnswer)
         tellCrashes(turn, received.message);
@@ -135,6 +139,7 @@
     fireIfDue(m_claims);
     fireIfDue(m_admission);
     fireIfDue(m_calls);
+    fireIfDue(m_quotas);
     if (*m_orphanSweep.nextTimer() <= turn.now())
         sweepOrphans(turn);
 }
@@ -162,10 +167,30 @@
     auto routed = arrived;
     if (auto reason = applyRoute(turn, routed))
         m_calls.refuse(turn, arrived, *reason);
+    else if (const auto* tenant = quotaTenantOf(routed))
+        m_quotas.arrive(turn, routed, *tenant);
     else
         m_calls.arrive(turn, routed);
 }
 
+const Tenant* NodeState::quotaTenantOf(const CallArrived& arrived) const
+{
+    // Calls that running requests make were counted with those, and have no tenant of their own.
+    if (arrived.terms->tenant.isEmpty() || !m_quotas.isActive() || m_calls.isLeaving())
+        return nullptr;
+    return m_quotas.find(arrived.terms->tenant);
+}
+
+void NodeState::decideQuotas(Turn& turn)
+{
+    for (const auto& decision : m_quotas.takeDecisions()) {
+        if (decision.refusal)
+            m_calls.refuse(turn, decision.call, *decision.refusal, decision.retryAfter);
+        else
+            m_calls.arrive(turn, decision.call);
+    }
+}
+
 std::optional<Reason> NodeState::applyRoute(Turn& turn, CallArrived& arrived) const
 {
     if (!m_routes.table())
@@ -221,7 +246,12 @@
     return queuePriority(route.priority, parentPriority.value_or(queuePriority(priority, std::nullopt)));
 }
 
-void NodeState::receive(Turn& turn, const CallerDisconnected& gone) { m_calls.callerGone(turn, gone.call); }
+void NodeState::receive(Turn& turn, const CallerDisconnected& gone)
+{
+    m_quotas.callerGone(gone.call);
+    m_calls.callerGone(turn, gone.call);
+}
+
 void NodeState::receive(Turn& turn, const AttemptFinished& finished)
 {
     bool isPathInDoubt = finished.report.result == AttemptResult::NotSent || finished.report.result == AttemptResult::Stalled;
@@ -283,6 +313,7 @@
 {
     m_configuration.noteReply(turn, replied.reply);
     m_configurationProof.noteEra(turn.now(), replied.reply.era);
+    m_quotas.noteReply(turn, replied.reply);
     if (m_routes.handleReply(turn, replied.reply))
         return;
     if (m_configurationProof.handleReply(turn, replied.reply)) {
@@ -290,7 +321,8 @@
         return;
     }
     if (!m_configuration.handleReply(turn, replied.reply)) {
-        m_claims.handleReply(turn, replied.reply);
+        if (!m_quotas.handleReply(turn, replied.reply))
+            m_claims.handleReply(turn, replied.reply);
         return;
     }
     auto seeds = m_configuration.takeSeeds();
@@ -311,6 +343,7 @@
     m_admission.leave(turn);
     m_localBackends.drainAll(turn);
     m_claims.leave(turn);
+    m_quotas.leave(turn);
     m_membership.leave(turn);
     turn.recordDecision({ DecisionKind::Leaving, "leave", "local", {}, {}, {}, {}, {}, std::to_string(m_calls.inFlight()) + " calls and " + std::to_string(m_admission.inFlight()) + " runs in flight" });
 }
@@ -378,7 +411,7 @@
         return;
     endLeaveNotice(turn);
     auto since = turn.now() - *m_leavingSince;
-    bool isIdle = m_calls.inFlight() == 0 && m_admission.inFlight() == 0 && m_claims.isIdle();
+    bool isIdle = m_calls.inFlight() == 0 && m_admission.inFlight() == 0 && m_claims.isIdle() && m_quotas.isIdle();
     bool isTimedOut = since >= m_leaveTimeout;
     if (!isTimedOut && (!isIdle || m_leaveNoticeEndsAt || since < minimumLeaveTime)) {
         if (turn.now() >= *m_leaveCheckAt)
--- a/Libraries/LibDecision/NodeState.h
+++ b/Libraries/LibDecision/NodeState.h
@@ -10,6 +10,7 @@
 #include <LibDecision/Health/Health.h>
 #include <LibDecision/Membership/Membership.h>
 #include <LibDecision/Node.h>
+#include <LibDecision/Quotas/Quotas.h>
 #include <LibDecision/Registry/BackendRegistry.h>
 #include <LibDecision/Registry/LocalBackends.h>
 #include <LibDecision/Registry/OrphanSweep.h>
@@ -26,6 +27,7 @@
 public:
     using NodeRouter = Router<Membership>;
     using NodeClaims = Claims<Membership, BackendRegistry>;
+    using NodeQuotas = Quotas<Membership>;
     using NodeAdmission = SidecarAdmission<NodeClaims, Health>;
     using NodeCalls = CallTable<NodeRouter, Health>;
 
@@ -48,6 +50,7 @@
     const NodeRouter& router() const { return m_router; }
     const NodeAdmission& admission() const { return m_admission; }
     const NodeCalls& calls() const { return m_calls; }
+    const NodeQuotas& quotas() const { return m_quotas; }
     bool isLeaving() const { return m_leavingSince.has_value(); }
 
 private:
@@ -60,6 +63,10 @@
     // Decides who sent the request, if there are tenants, and takes its account and terms from that. Returns the reason for
     // refusal if the request needs an API key and has none that is in force.
     std::optional<Reason> identify(const Turn&, const Route&, CallArrived&) const;
+    // Returns the tenant whose quota the call uses; null if it uses none.
+    const Tenant* quotaTenantOf(const CallArrived&) const;
+    // Passes on the calls whose wait for a token has ended.
+    void decideQuotas(Turn&);
     // Returns the priority of a request of this route among those that wait for a slot; 0 is the most urgent.
     uint32_t priorityOf(const Route&, const RequestInfo&, uint32_t tenantPriority) const;
     void receive(Turn&, const CallerDisconnected&);
@@ -116,6 +123,7 @@
     NodeClaims m_claims;
     NodeAdmission m_admission;
     NodeCalls m_calls;
+    NodeQuotas m_quotas;
     std::optional<Instant> m_leavingSince;
     std::optional<Instant> m_leaveNoticeEndsAt;
     // When to check next whether the process can leave.
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -51,6 +51,7 @@
     MemoryKept,
     CallerConnections,
     ControlConnections,
+    QuotaPartitionsHeld,
 };
 
 // Totals that other parts count themselves; they are set to their current value.
@@ -78,6 +79,16 @@
     ZoneStays,
     ZoneCrossings,
     ZoneLacks,
+    // The holder's side.
+    QuotaTokensGranted,
+    QuotaTokensRefused,
+    // The ingress's side.
+    QuotaCallsPassed,
+    QuotaCallsExceeded,
+    QuotaCallsUnavailable,
+    QuotaQuestions,
+    QuotaAnswers,
+    QuotaRoundTripMicroseconds,
 };
 
 }
@@ -117,6 +128,7 @@
         EnumName { Telemetry::Gauge::MemoryKept, "fulmar_memory_kept_bytes" },
         EnumName { Telemetry::Gauge::CallerConnections, "fulmar_caller_connections" },
         EnumName { Telemetry::Gauge::ControlConnections, "fulmar_control_connections" },
+        EnumName { Telemetry::Gauge::QuotaPartitionsHeld, "fulmar_quota_partitions_held" },
     };
 };
 
@@ -145,6 +157,14 @@
         EnumName { Telemetry::Total::ZoneStays, "fulmar_zone_stays_total" },
         EnumName { Telemetry::Total::ZoneCrossings, "fulmar_zone_crossings_total" },
         EnumName { Telemetry::Total::ZoneLacks, "fulmar_zone_lacks_total" },
+        EnumName { Telemetry::Total::QuotaTokensGranted, "fulmar_quota_tokens_granted_total" },
+        EnumName { Telemetry::Total::QuotaTokensRefused, "fulmar_quota_tokens_refused_total" },
+        EnumName { Telemetry::Total::QuotaCallsPassed, "fulmar_quota_calls_passed_total" },
+        EnumName { Telemetry::Total::QuotaCallsExceeded, "fulmar_quota_calls_exceeded_total" },
+        EnumName { Telemetry::Total::QuotaCallsUnavailable, "fulmar_quota_calls_unavailable_total" },
+        EnumName { Telemetry::Total::QuotaQuestions, "fulmar_quota_questions_total" },
+        EnumName { Telemetry::Total::QuotaAnswers, "fulmar_quota_answers_total" },
+        EnumName { Telemetry::Total::QuotaRoundTripMicroseconds, "fulmar_quota_round_trip_microseconds_total" },
     };
 };
 
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -458,6 +458,17 @@
     metrics.set(Total::ZoneStays, crossings.stayed);
     metrics.set(Total::ZoneCrossings, crossings.left);
     metrics.set(Total::ZoneLacks, crossings.lacking);
+    const auto& holder = state.quotas().holder();
+    metrics.set(Gauge::QuotaPartitionsHeld, static_cast<double>(holder.heldCount()));
+    metrics.set(Total::QuotaTokensGranted, holder.counters().tokensGranted + holder.counters().tokensGrantedAhead);
+    metrics.set(Total::QuotaTokensRefused, holder.counters().tokensRefused);
+    const auto& quotas = state.quotas().requester().counters();
+    metrics.set(Total::QuotaCallsPassed, quotas.passed);
+    metrics.set(Total::QuotaCallsExceeded, quotas.exceeded);
+    metrics.set(Total::QuotaCallsUnavailable, quotas.unavailable);
+    metrics.set(Total::QuotaQuestions, quotas.questions);
+    metrics.set(Total::QuotaAnswers, quotas.answeredQuestions);
+    metrics.set(Total::QuotaRoundTripMicroseconds, static_cast<uint64_t>(quotas.roundTrips / 1us));
     metrics.set(Total::LogLinesSuppressed, m_observability.log().suppressedLines());
     return metrics.prometheusText();
 }
--- a/Services/fulmard/NodeDriver.cpp
+++ b/Services/fulmard/NodeDriver.cpp
@@ -6,9 +6,9 @@
 
 NodeDriver::NodeDriver(Transport::EventLoop& loop, Decision::NodeOptions options, EffectHandler handler)
     : m_loop(loop)
-    , m_node(options)
+    , m_node(std::move(options))
     , m_handler(std::move(handler))
-    , m_observesSuspension(options.tenants.hasStrictRevocation)
+    , m_suspendedTime(Transport::suspendedTime())
 {
 }
 
@@ -22,6 +22,7 @@
 {
     m_isDraining = true;
     carryOut(m_node.start(m_loop.now()));
+    carryOut(m_node.handle(m_loop.now(), Decision::SuspensionObserved { m_suspendedTime }));
     m_isDraining = false;
     drain();
 }
@@ -42,6 +43,8 @@
         observeSuspension();
         if (auto* arrived = std::get_if<Decision::CallArrived>(&input))
             arrived->suspendedTime = m_suspendedTime;
+        else if (auto* message = std::get_if<Decision::MessageReceived>(&input))
+            message->suspendedTime = m_suspendedTime;
         carryOut(m_node.handle(m_loop.now(), input));
     }
     m_isDraining = false;
@@ -50,7 +53,8 @@
 
 void NodeDriver::observeSuspension()
 {
-    if (!m_observesSuspension)
+    // Only proofs of the configuration and quotas, which depend on tenants, outlive a suspension.
+    if (!m_node.state().routes().tenants().hasTenants())
         return;
     auto suspendedTime = Transport::suspendedTime();
     if (suspendedTime <= m_suspendedTime)
--- a/Services/fulmard/NodeDriver.h
+++ b/Services/fulmard/NodeDriver.h
@@ -38,9 +38,7 @@
     EffectHandler m_handler;
     std::deque<Decision::Input> m_inputs;
     bool m_isDraining { false };
-    // Whether the core has to know of suspensions.
-    bool m_observesSuspension { false };
-    Model::Duration m_suspendedTime { 0 };
+    Model::Duration m_suspendedTime;
     std::optional<Transport::TimerId> m_timer;
     std::optional<Model::Instant> m_timerAt;
 };
--- a/Services/fulmard/ProblemDetails.cpp
+++ b/Services/fulmard/ProblemDetails.cpp
@@ -19,18 +19,19 @@
     constexpr uint16_t serviceUnavailable = 503;
     constexpr uint16_t badGateway = 502;
     constexpr uint16_t unauthorized = 401;
+    constexpr uint16_t tooManyRequests = 429;
 
     // Reasons with a status of their own; the others follow the outcome.
     constexpr std::array reasonStatuses {
         ReasonStatus { Reason::NoSuchService, 404 },
         ReasonStatus { Reason::NoRoute, 404 },
         ReasonStatus { Reason::UnknownKey, unauthorized },
-        ReasonStatus { Reason::QuotaExceeded, 429 },
         ReasonStatus { Reason::BodyTooLarge, 413 },
         ReasonStatus { Reason::BadRequest, 400 },
         ReasonStatus { Reason::DeadlineExceeded, 504 },
         ReasonStatus { Reason::NoProgress, 504 },
-        ReasonStatus { Reason::FairShareExceeded, 429 },
+        ReasonStatus { Reason::FairShareExceeded, tooManyRequests },
+        ReasonStatus { Reason::QuotaExceeded, tooManyRequests },
         ReasonStatus { Reason::KeyInProgress, 409 },
         ReasonStatus { Reason::KeyAlreadyUsed, 422 },
         ReasonStatus { Reason::KeyOutcomeUnknown, 409 },
--- a/Tests/LibControl/MessageGenerators.h
+++ b/Tests/LibControl/MessageGenerators.h
@@ -95,7 +95,7 @@
 inline MessageBody anyBody()
 {
     auto sequence = *rc::gen::arbitrary<uint64_t>();
-    switch (*rc::gen::inRange(0, 15)) {
+    switch (*rc::gen::inRange(0, 17)) {
     case 0:
         return Ping { sequence, anyRumors() };
     case 1:
@@ -126,6 +126,10 @@
         auto age = *rc::gen::arbitrary<bool>() ? std::optional(Duration(*rc::gen::inRange(0, 10'000'000))) : std::nullopt;
         return ConfigurationProofReply { sequence, *anyNumber<Incarnation>(), *anyNumber<Revision>(), age, *rc::gen::arbitrary<uint64_t>() };
     }
+    case 14:
+        return QuotaRequest { sequence, 5, { { *anyName<AccountId>(), 2, 3 } }, *rc::gen::arbitrary<bool>() };
+    case 15:
+        return QuotaReply { sequence, *anyNumber<Incarnation>(), 6, *rc::gen::arbitrary<bool>(), *anyName<InstanceId>(), { { *anyName<AccountId>(), 1, 2, *rc::gen::arbitrary<bool>(), Duration(8), Duration(9) } } };
     default:
         return ClaimHandover { *anyName<ServiceName>(), 1, *anyNumber<ClaimEpoch>(), 4, *rc::gen::arbitrary<bool>(), { anyClaimEntry() } };
     }
