LibDecision: Count a request once when tenants' served shares are compared

Cause: a request that one sidecar refuses is offered to others, and each counted it as requested. So a hot tenant seemed to be served far less often than it was, and went before all turns.

Change: only an ingress's first offer counts, which is an order whose whole wait is left. Nothing is added to the order.

TestAdmission 106 and TestNode 22 pass.

--- a/Libraries/LibDecision/Admission/SidecarAdmission.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmission.h
@@ -152,6 +152,10 @@
 
     // Longest time that the request may wait for a slot here.
     Duration longestWait(const AdmittedCall&) const;
+    // Returns true if the ingress offers the request for the first time: its whole wait, as CallTable::remainingWait() gives it
+    // at the arrival, is left. Requests that several sidecars refuse would otherwise count once for each of them, so a hot
+    // tenant's would seem to be served far less often than they are.
+    static bool isFirstOffer(const SidecarCallArrived&);
     // Number of waiting requests that would be served before this one if it joins the queue now.
     size_t countAhead(const AdmittedCall&) const;
     FairQueueOffer offerToQueue(SidecarCallId, const AdmittedCall&, Instant now);
--- a/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
+++ b/Libraries/LibDecision/Admission/SidecarAdmissionInline.h
@@ -121,16 +121,14 @@
     auto waitReason = waitReasonFor(call, turn.now());
     if (!waitReason && !occupancy.queue.isEmpty())
         waitReason = Reason::BackendBusy;
-    if (waitReason && arrival.isOnlyForFreeSlot) {
-        refuseInsteadOfQueueing(turn, arrival.call, call, *waitReason);
-        return;
-    }
-    if (m_takesTurns)
+    if (m_takesTurns && isFirstOffer(arrival))
         occupancy.turns.requested(call.request.account, turn.now());
-    if (waitReason)
-        enqueue(turn, arrival.call, call);
-    else
+    if (!waitReason)
         start(turn, arrival.call, call);
+    else if (arrival.isOnlyForFreeSlot)
+        refuseInsteadOfQueueing(turn, arrival.call, call, *waitReason);
+    else
+        enqueue(turn, arrival.call, call);
 }
 
 template <ClaimGate Gate, RunObserver Observer>
@@ -545,6 +543,13 @@
     return limit ? limit->waitFor(countAhead(admitted), now) : Duration::zero();
 }
 
+template <ClaimGate Gate, RunObserver Observer>
+bool SidecarAdmission<Gate, Observer>::isFirstOffer(const SidecarCallArrived& arrival)
+{
+    auto wholeWait = arrival.request.parent ? arrival.latencyObjective : arrival.latencyObjective / 2;
+    return arrival.longestWait >= wholeWait;
+}
+
 template <ClaimGate Gate, RunObserver Observer>
 size_t SidecarAdmission<Gate, Observer>::countAhead(const AdmittedCall& admitted) const
 {
