--- a/Services/fulmard/NodeDriver.cpp
+++ b/Services/fulmard/NodeDriver.cpp
@@ -1,5 +1,6 @@
 #include <Services/fulmard/NodeDriver.h>
 
+#include <LibDecision/NodeState.h>
 #include <LibTransport/SuspendedTime.h>
 
 namespace Fulmard {
