--- a/Libraries/LibDecision/Configuration/ConfigurationProof.cpp
+++ b/Libraries/LibDecision/Configuration/ConfigurationProof.cpp
@@ -193,7 +193,7 @@
     } else {
         peers = rendezvousChoice(m_self.value(), relays, readers);
     }
-    std::ranges::stable_partition(peers, [this](const InstanceId& peer) { return peer != m_silentPeer; });
+    std::stable_partition(peers.begin(), peers.end(), [this](const InstanceId& peer) { return peer != m_silentPeer; });
 
     std::vector<Step> steps(peers.begin(), peers.end());
     if (isReader)
