--- a/Libraries/LibTransport/AnswerReader.cpp
+++ b/Libraries/LibTransport/AnswerReader.cpp
@@ -126,7 +126,7 @@
 uint64_t AnswerReader::neededBytes() const
 {
     constexpr uint64_t growthFactor = 2;
-    return m_framing == AnswerFraming::Chunked ? growthFactor * m_response.body.size() : m_response.body.size() + m_missingBytes;
+    return m_framing == AnswerFraming::Chunked && m_state == AnswerState::Incomplete ? growthFactor * m_response.body.size() : m_response.body.size() + m_missingBytes;
 }
 
 size_t AnswerReader::breakOff(std::string problem)
--- a/Libraries/LibTransport/ClientExchange.cpp
+++ b/Libraries/LibTransport/ClientExchange.cpp
@@ -74,6 +74,11 @@
     m_connection->consume(m_reader.read(m_connection->input()));
     switch (m_reader.state()) {
     case AnswerState::Whole:
+        // It may have come at once, and nobody may read it for long.
+        if (m_reader.neededBytes() > smallReservation && !m_reservation->resize(m_reader.neededBytes())) {
+            end(ClientStatus::NoMemory, "there is no memory for the answer");
+            return;
+        }
         m_isReusable = m_reader.isPersistent() && m_isWritten && !error && m_connection->input().empty();
         end(ClientStatus::Answered, {});
         return;
--- a/Libraries/LibTransport/ServerLimits.h
+++ b/Libraries/LibTransport/ServerLimits.h
@@ -12,10 +12,11 @@
 
 // What a server takes from one connection.
 struct ServerLimits {
-    uint64_t headBytes { 64u << 10 };
+    // The library has a limit of its own below this.
+    uint64_t headBytes { 512u << 10 };
     uint64_t bodyBytes { 1u << 20 };
     // From the first byte of a head until its end.
-    Duration headTimeout { std::chrono::seconds(30) };
+    Duration headTimeout { std::chrono::seconds(75) };
     // Longer than the idle timeout of our own clients, so that it is they who close idle connections.
     Duration idleTimeout { std::chrono::seconds(75) };
     // Without a byte of a body or of an answer moving. Longer than any cut of a client's machine from the network.
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -30,10 +30,10 @@
     constexpr auto shortestDelivery = std::chrono::milliseconds(200);
     constexpr auto deliveryCheckInterval = std::chrono::milliseconds(10);
 
-    // A twentieth of the descriptors stays for each listener beside these, and the rest for peers, backend servers and the store.
-    constexpr double callersDescriptorShare = 0.5;
-    constexpr double controlDescriptorShare = 0.2;
-    constexpr double sideDescriptorShare = 0.05;
+    // What isn't given to listeners, a quarter at least, stays for connections to peers, backend servers and the store.
+    constexpr double callersDescriptorShare = 0.4;
+    constexpr double controlDescriptorShare = 0.3;
+    constexpr double sideDescriptorShare = 0.02;
     constexpr size_t fewestConnections = 8;
     // Memory comes free as requests end.
     constexpr Duration memoryRetryAfter = std::chrono::seconds(1);
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -1,3 +1,4 @@
+#include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
 #include <Tests/LibTransport/RawClient.h>
 
@@ -186,3 +187,30 @@
     client.send(post(10 * megabyte));
     EXPECT_NE(client.readUntil(loop, "no memory").find("HTTP/1.1 503"), std::string::npos);
 }
+
+// Guards against answers that escape the account because they come whole at once.
+TEST_F(BoundedServer, AnswersThatDoNotFitArentRead)
+{
+    HttpServerOptions options;
+    options.listen = { "127.0.0.1", 0 };
+    options.onRequest = [this](ServerRequestId id, const HttpRequest& request) {
+        server->respond(id, { 200, {}, std::string(request.target == "/long" ? megabyte : 1000, 'x') });
+    };
+    server = std::make_unique<HttpServer>(loop, std::move(options));
+    auto account = std::make_shared<MemoryBudget>(megabyte / 2);
+    HttpClient client(loop, { .memory = account });
+    std::vector<ClientResult> results;
+    for (const auto* target : { "/long", "/short" }) {
+        ClientRequest request;
+        request.to = server->endpoint();
+        request.request.method = "GET";
+        request.request.target = target;
+        client.send(std::move(request), [&](ClientResult result) { results.push_back(std::move(result)); });
+    }
+    ASSERT_TRUE(runUntil([&] { return results.size() == 2; }));
+    EXPECT_EQ(results[0].status, ClientStatus::Answered);
+    EXPECT_EQ(results[1].status, ClientStatus::NoMemory);
+    EXPECT_EQ(account->held(), 1000u);
+    results.clear();
+    EXPECT_EQ(account->held(), 0u);
+}
--- a/Tests/PlatformAdapter/TestNodeFile.cpp
+++ b/Tests/PlatformAdapter/TestNodeFile.cpp
@@ -30,6 +30,14 @@
     EXPECT_LT(settings.leaveTimeout, 6s);
 }
 
+TEST(NodeFile, DerivesTheAccountOfBytesFromTheMachinesMemory)
+{
+    EXPECT_EQ(readNodeFile(valid, "settings.conf").limits.memoryBytes, 0u);
+    auto settings = readNodeFile(valid + "limits.memoryMb=160\nlimits.maxFds=4100\n", "settings.conf");
+    EXPECT_EQ(settings.limits.memoryBytes, 80u << 20);
+    EXPECT_EQ(settings.limits.descriptors, 4100u);
+}
+
 TEST(NodeFile, NamesFileLineAndFieldOfWhatIsMissingOrImpossible)
 {
     auto expectError = [](const std::string& text, const std::string& key, int line) {
