--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -128,8 +128,6 @@
 
     // Adds a backend server whose sidecar is the node. Returns its index.
     size_t addBackend(const std::string& service, size_t node);
-    // Sends a caller's request to the node. Returns its index in requests().
-    size_t send(size_t node, RequestInfo, const std::string& keyDigest = {});
     // Sends a caller's request to the node, with the digest of its API key if it has one. Returns its index in requests().
     size_t send(size_t node, RequestInfo, const std::string& keyDigest = "");
     void callerGone(size_t request);
