LibTransport: Don't close a connection for room while its own bytes are reserved

Found by reading: a slow body that didn't fit could choose its own connection as the one to close, which freed the connection under the code that was judging it.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -144,7 +144,9 @@
     }
     connection.state.lastProgress = m_server.loop.now();
     connection.state.movedBytes += connection.socket->bytes_read;
+    m_judgedKey = connection.key;
     auto verdict = judge(connection);
+    m_judgedKey = 0;
     if (verdict != Verdict::Take)
         updatePhase(connection);
     if (verdict == Verdict::Close) {
@@ -403,7 +405,7 @@
     auto age = m_server.loop.now() - state.phaseSince;
     auto bytes = state.held.bytes() + state.unsentBytes;
     bool isMoving = state.phase == ConnectionPhase::Head || state.phase == ConnectionPhase::Body || state.phase == ConnectionPhase::Writing;
-    if (state.isEnding || !isMoving || bytes < leastBytesToShed || age < shortestTrial)
+    if (state.isEnding || connection.key == m_judgedKey || !isMoving || bytes < leastBytesToShed || age < shortestTrial)
         return 0;
     if (state.phase == ConnectionPhase::Writing)
         noteAcknowledged(connection);
--- a/Libraries/LibTransport/ConnectionMonitor.h
+++ b/Libraries/LibTransport/ConnectionMonitor.h
@@ -115,6 +115,8 @@
     // The holder that highestScore() found, and when a search last found none.
     uint64_t m_highestKey { 0 };
     std::optional<Instant> m_nothingFoundAt;
+    // The connection whose bytes are being judged, which isn't closed for its own sake.
+    uint64_t m_judgedKey { 0 };
     bool m_isRefusing { false };
 };
 
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -214,3 +214,20 @@
     results.clear();
     EXPECT_EQ(account->held(), 0u);
 }
+
+// Guards against a connection that is closed for room while its own bytes are being reserved.
+TEST_F(BoundedServer, RefusesASlowBodyForWhichNobodyElseIsClosed)
+{
+    memory = std::make_shared<MemoryBudget>(256u << 10);
+    start();
+    RawClient client(server->endpoint());
+    client.sendAll(loop, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nC000\r\n" + std::string(0xC000, 'x') + "\r\n");
+    auto slowFrom = loop.now() + 2s;
+    runUntil([&] { return loop.now() > slowFrom; });
+    // Too young to be closed for room.
+    RawClient other(server->endpoint());
+    other.send(post(100'000));
+    EXPECT_TRUE(runUntil([&] { return memory->held() > 190'000; }));
+    client.sendAll(loop, "6000\r\n" + std::string(0x6000, 'x') + "\r\n");
+    EXPECT_NE(client.readUntil(loop, "no memory").find("There is no memory"), std::string::npos);
+}
