LibDecision: Stop a quota holder whose lease has gone

- A holder that leaves ended its lease without looking whether the store had come back from a copy meanwhile, and used an empty optional.
It aborts in the new test without the guard.
- A lease that was granted by an early call and answered after a later lease was lost was taken to be proven by that later one.
A lease's proof is dropped with it now.
Found by reading; the new test fails without it.

A process that ends by its leave timeout refuses calls that wait for a token. In the tests, pauses no longer overlap, and a quota that was lifted before a paused process read a request applies to that request.

--- a/Libraries/LibDecision/Claims/HolderLease.cpp
+++ b/Libraries/LibDecision/Claims/HolderLease.cpp
@@ -106,6 +106,8 @@
     m_lease = {};
     m_renewals.clear();
     m_validUntil = now;
+    // What proved this lease proves nothing of a later one.
+    m_provenAt = {};
     m_timer.reset();
 }
 
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -380,6 +380,8 @@
     m_leaveCheckAt.reset();
     auto abortedText = std::to_string(m_calls.inFlight()) + " calls and " + std::to_string(m_admission.inFlight()) + " runs were aborted";
     turn.recordDecision({ DecisionKind::Left, "leave", "local", {}, {}, {}, {}, {}, isIdle ? "nothing was in flight" : abortedText });
+    m_quotas.refuseAll(turn);
+    decideQuotas(turn);
     m_calls.endAll(turn);
     turn.emit(Leave {});
 }
--- a/Libraries/LibDecision/Quotas/QuotaHolder.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.cpp
@@ -85,7 +85,9 @@
     m_holds.clear();
     m_nextCheck.reset();
     m_idleAt = turn.now() + revocationTime;
-    m_lease->revoke(turn);
+    // The lease is gone already if the store came back from a copy meanwhile.
+    if (m_lease)
+        m_lease->revoke(turn);
     m_lease.reset();
 }
 
--- a/Libraries/LibDecision/Quotas/QuotaRequester.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaRequester.cpp
@@ -273,6 +273,12 @@
     m_tenants.clear();
 }
 
+void QuotaRequester::refuseAll(Turn& turn)
+{
+    while (!m_calls.empty())
+        decide(turn.now(), m_calls.begin()->first, Reason::ProcessLeaving, Duration(0));
+}
+
 std::optional<Instant> QuotaRequester::nextTimer() const
 {
     return earliest(earliest(m_expiries.next(), m_timeouts.next()), m_pauseDetector.nextTimer());
--- a/Libraries/LibDecision/Quotas/QuotaRequester.h
+++ b/Libraries/LibDecision/Quotas/QuotaRequester.h
@@ -70,6 +70,9 @@
     // Lets all waiting calls go, because no quota is in force any more.
     void releaseAll(Turn&);
 
+    // Refuses all waiting calls, because the process ends.
+    void refuseAll(Turn&);
+
     bool isEmpty() const { return m_calls.empty(); }
     size_t waitingCount() const { return m_calls.size(); }
     std::optional<Instant> nextTimer() const;
--- a/Libraries/LibDecision/Quotas/Quotas.h
+++ b/Libraries/LibDecision/Quotas/Quotas.h
@@ -99,6 +99,7 @@
     }
 
     void leave(Turn& turn) { m_holder.leave(turn); }
+    void refuseAll(Turn& turn) { m_requester.refuseAll(turn); }
     bool isIdle() const { return m_holder.isIdle() && m_requester.isEmpty(); }
     size_t waitingCount() const { return m_requester.waitingCount(); }
 
--- a/Tests/LibDecision/Quotas/QuotaFleet.cpp
+++ b/Tests/LibDecision/Quotas/QuotaFleet.cpp
@@ -162,8 +162,10 @@
 
 void QuotaFleet::pause(size_t process, Duration length, bool isSuspension)
 {
-    if (!m_fleet.isRunning(process))
+    // Pauses that overlap would be counted as suspended twice, and set the process's clock back.
+    if (!m_fleet.isRunning(process) || m_fleet.now() < m_pausedUntil[process])
         return;
+    m_pausedUntil[process] = m_fleet.now() + length;
     m_fleet.pause(process);
     m_fleet.callLater(length, [this, process, length, isSuspension, generation = m_generations[process]] {
         if (!m_fleet.isRunning(process) || m_generations[process] != generation)
--- a/Tests/LibDecision/Quotas/QuotaFleet.h
+++ b/Tests/LibDecision/Quotas/QuotaFleet.h
@@ -134,6 +134,7 @@
     std::shared_ptr<QuotaPeers::Members> m_members;
     std::shared_ptr<const RouteTable> m_table;
     std::vector<uint32_t> m_generations;
+    std::map<size_t, Instant> m_pausedUntil;
     double m_clockDeviation;
     std::vector<QuotaCall> m_calls;
     std::vector<std::pair<Instant, std::vector<Tenant>>> m_published;
--- a/Tests/LibDecision/Quotas/QuotaSchedule.cpp
+++ b/Tests/LibDecision/Quotas/QuotaSchedule.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <span>
 
 namespace Testing {
 
@@ -180,15 +182,16 @@
 {
     double largest = -INFINITY;
     for (const auto& tenant : quotas.front()) {
-        std::vector<Instant> sent;
-        for (const auto& call : m_fleet.calls()) {
-            if (call.tenant == tenant.name && call.isPassed)
-                sent.push_back(call.sentAt);
-        }
-        for (size_t first = 0, last = 0; first < sent.size(); ++first) {
-            while (last < sent.size() && sent[last] < sent[first] + window)
+        std::vector<QuotaCall> passed;
+        std::ranges::copy_if(m_fleet.calls(), std::back_inserter(passed), [&](const QuotaCall& call) { return call.tenant == tenant.name && call.isPassed; });
+        for (size_t first = 0, last = 0; first < passed.size(); ++first) {
+            auto from = passed[first].sentAt;
+            while (last < passed.size() && passed[last].sentAt < from + window)
                 ++last;
-            largest = std::max(largest, static_cast<double>(last - first) - allowed(tenant.name, sent[first], sent[first] + window));
+            // A quota that was lifted until a paused process read a request applies to that request.
+            auto calls = std::span(passed).subspan(first, last - first);
+            auto until = *std::ranges::max_element(calls, {}, &QuotaCall::decidedAt)->decidedAt;
+            largest = std::max(largest, static_cast<double>(calls.size()) - allowed(tenant.name, from, until));
         }
     }
     return largest;
--- a/Tests/LibDecision/Quotas/TestQuotaBuckets.cpp
+++ b/Tests/LibDecision/Quotas/TestQuotaBuckets.cpp
@@ -69,6 +69,37 @@
     static_assert(quotaLeaseTime - quotaLeaseTime / 10 - grantMargin > quotaLeaseTime / 3);
 }
 
+// A grant that is answered after a later lease was lost would be taken to last as long as that one.
+TEST(HolderLease, ALateGrantIsProvenOnlyFromItsOwnSending)
+{
+    std::mt19937_64 random(1);
+    PlatformTag tag;
+    HolderLease lease(InstanceId("node-0"), quotaLeaseTime);
+    auto at = [&](Duration passed) { return Turn(start + passed, random, tag); };
+    auto answer = [](PlatformTag call, PlatformStatus status, const char* name) {
+        PlatformReply reply { .tag = call, .status = status };
+        reply.lease = PlatformLease(name);
+        return reply;
+    };
+    HolderLease::Change change;
+    for (auto sentAt : { 0ms, 250ms }) {
+        auto turn = at(sentAt);
+        lease.handleTimer(turn);
+        lease.ensure(turn);
+    }
+    auto second = at(260ms);
+    EXPECT_TRUE(lease.handleReply(second, answer(PlatformTag(2), PlatformStatus::Done, "second"), change));
+    auto renewal = at(750ms);
+    lease.handleTimer(renewal);
+    auto lost = at(760ms);
+    EXPECT_TRUE(lease.handleReply(lost, answer(PlatformTag(3), PlatformStatus::Refused, ""), change));
+    EXPECT_EQ(change, HolderLease::Change::Lost);
+    auto late = at(770ms);
+    EXPECT_TRUE(lease.handleReply(late, answer(PlatformTag(1), PlatformStatus::Done, "first"), change));
+    EXPECT_EQ(lease.provenAt(), start);
+    EXPECT_EQ(lease.remaining(start + 770ms), quotaLeaseTime - quotaLeaseTime / 10 - 770ms);
+}
+
 TEST(SuspensionClock, NoticesSuspensionsThatAddUp)
 {
     SuspensionClock clock;
--- a/Tests/LibDecision/Quotas/TestQuotas.cpp
+++ b/Tests/LibDecision/Quotas/TestQuotas.cpp
@@ -215,6 +215,17 @@
     EXPECT_GE(static_cast<double>(passed), 0.9 * 100 * 20);
 }
 
+// The rise of the era ends the lease that a leaving process is about to end.
+TEST_F(QuotaTest, AHolderLeavesAlthoughTheStoreComesBackFromACopyMeanwhile)
+{
+    settle();
+    auto leaving = holder();
+    fleet.leave(leaving);
+    fleet.platform().restoreSnapshot(fleet.fleet().now());
+    fleet.runFor(2s);
+    EXPECT_TRUE(fleet.fleet().process(leaving).quotas().isIdle());
+}
+
 // The first process of a fleet would otherwise hold all partitions for good.
 TEST(QuotaFleet, PartitionsMoveToTheirFirstCandidates)
 {
