LibDecision: Match replies to quota questions by the requester's start, and spare the store

Causes: a reply named the incarnation that the question's message carried, which rises whenever a process refutes a suspicion, so a process that had been suspected once never took a reply again. Processes that were asked read the store seven times a second while another one held the partition, and took a lease before they knew that it was vacant. While members are being learned, each process took itself for the first candidate of many partitions, and a requester that found a vacant partition made three candidates race for it. Handovers after 10 s left partitions without a holder for a second.

Changes: questions carry the requester's start, which replies return. A process reads before it asks for a lease, tells who holds the partition, and reads again only when asked 500 ms later. A requester stays with one candidate for four replies. Handovers come after 60 s at the earliest; the test of them runs 2 min instead of 30 s, with the same check.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -332,6 +332,7 @@
     archive.field("partition", value.partition);
     archive.field("needs", value.needs);
     archive.optionalField("wantsHandover", value.wantsHandover);
+    archive.field("requesterStart", value.requesterStart);
 }
 
 template <typename Archive>
@@ -349,7 +350,7 @@
 void describe(Archive& archive, QuotaReply& value)
 {
     archive.field("sequence", value.sequence);
-    archive.field("requesterIncarnation", value.requesterIncarnation);
+    archive.field("requesterStart", value.requesterStart);
     archive.field("partition", value.partition);
     archive.field("isHolder", value.isHolder);
     archive.optionalField("holder", value.holder);
--- a/Libraries/LibDecision/Message.h
+++ b/Libraries/LibDecision/Message.h
@@ -356,6 +356,9 @@
     std::vector<QuotaNeed> needs;
     // True if the sender, the first candidate for the partition, could take it over from the receiver.
     bool wantsHandover { false };
+    // Incarnation at the sender's start. A restarted process counts its sequences from 1 again, and the incarnation that its
+    // messages carry rises while it runs.
+    Incarnation requesterStart;
 
     bool operator==(const QuotaRequest&) const = default;
 };
@@ -377,8 +380,8 @@
 
 struct QuotaReply {
     uint64_t sequence { 0 };
-    // Incarnation of the process that sent the QuotaRequest.
-    Incarnation requesterIncarnation;
+    // From the QuotaRequest.
+    Incarnation requesterStart;
     uint32_t partition { 0 };
     bool isHolder { false };
     // If the sender isn't the holder: the holder, as far as the sender knows; empty if it doesn't.
--- a/Libraries/LibDecision/Quotas/QuotaHolder.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.cpp
@@ -11,16 +11,19 @@
     // Interval between attempts of a process that is asked for tokens. A vacant partition is held again within 2 s, and
     // a lease ends up to 1.5 s after its holder.
     constexpr Duration wantedInterval = 150ms;
-    // Interval between reads of the first candidate while another process holds the partition.
-    constexpr Duration candidateInterval = 1s;
+    // Interval between reads of a process that is asked while another one holds the partition.
+    constexpr Duration heldInterval = 500ms;
+    // Interval between reads of the first candidate while another process holds the partition. Each process that is asked
+    // tries a vacant one by itself, so this one only balances the load, and each read of the store is paid for.
+    constexpr Duration candidateInterval = 30s;
     // A call without a reply is abandoned after this time, which is longer than the driver waits for the store. A late
     // acquisition is noticed by the next read.
     constexpr Duration callTimeout = 3s;
     // A process that was asked tries to hold the partition for this time.
     constexpr Duration wantedTime = 1s;
-    // A holder hands over to the first candidate only after this time, so that a fleet whose members change often
-    // doesn't move partitions all the time.
-    constexpr Duration shortestHold = 10s;
+    // A holder hands over to the first candidate only after this time. Each handover leaves the partition without a holder
+    // for about a second, and an uneven spread of partitions matters only over minutes.
+    constexpr Duration shortestHold = 60s;
     // Time from the last grant until no token can be used any more.
     constexpr Duration releaseDelay = grantMargin;
     // Time that a leaving process allows the store to receive the end of its lease.
@@ -126,7 +129,7 @@
 {
     const auto& request = incoming.request;
     ++m_counters.questions;
-    QuotaReply reply { request.sequence, incoming.process.incarnation, request.partition };
+    QuotaReply reply { request.sequence, request.requesterStart, request.partition };
     if (request.partition >= quotaPartitionCount || !isActive())
         return reply;
     if (!canGrant(turn.now(), request.partition)) {
@@ -194,10 +197,7 @@
         m_nextCheck = turn.now() + checkInterval;
     if (hold.state != HoldState::Vacant || turn.now() < hold.nextAttempt || !isWanted(turn.now(), hold))
         return;
-    if (!m_lease)
-        m_lease.emplace(m_self.instance, quotaLeaseTime, "quotas");
-    m_lease->ensure(turn);
-    if (!m_lease->isValid(turn.now()) || m_lease->lease() == hold.releasedLease)
+    if (m_lease && m_lease->isValid(turn.now()) && m_lease->lease() == hold.releasedLease)
         return;
     hold.state = HoldState::Reading;
     hold.lastAttempt = turn.now();
@@ -205,14 +205,25 @@
     hold.pending = turn.callPlatform(ReadPrefix { quotaKey(partition) });
 }
 
+bool QuotaHolder::hasLease(Turn& turn)
+{
+    if (!m_lease)
+        m_lease.emplace(m_self.instance, quotaLeaseTime, "quotas");
+    m_lease->ensure(turn);
+    return m_lease->isValid(turn.now());
+}
+
 void QuotaHolder::handleRead(Turn& turn, uint32_t partition, Hold& hold, const PlatformReply& reply)
 {
     hold.state = HoldState::Vacant;
     hold.nextAttempt = turn.now() + wantedInterval;
-    if (reply.status != PlatformStatus::Done || !m_lease || !m_lease->isValid(turn.now()))
+    if (reply.status != PlatformStatus::Done)
         return;
     auto key = std::ranges::find(reply.values, quotaKey(partition), &KeyValue::key);
-    bool isHeldByAnother = key != reply.values.end() && !key->lease.isEmpty() && key->lease != m_lease->lease();
+    bool isOwn = m_lease && key != reply.values.end() && key->lease == m_lease->lease();
+    bool isHeldByAnother = key != reply.values.end() && !key->lease.isEmpty() && !isOwn;
+    if (!isHeldByAnother && !hasLease(turn))
+        return;
     if (!isHeldByAnother) {
         hold.state = HoldState::Acquiring;
         hold.lease = m_lease->lease();
@@ -223,8 +234,10 @@
     }
     hold.mayBeBound = false;
     hold.knownHolder = InstanceId(key->value);
-    if (turn.now() >= hold.wantedUntil)
-        hold.nextAttempt = turn.now() + candidateInterval;
+    // Who asked is told the holder. If that one doesn't answer, this process is asked again.
+    hold.wantedUntil = turn.now();
+    hold.lastAttempt = turn.now() + heldInterval - wantedInterval;
+    hold.nextAttempt = turn.now() + candidateInterval;
     if (hold.isCandidate && hold.knownHolder != m_self.instance)
         m_handoverWishes.emplace_back(partition, hold.knownHolder);
 }
@@ -308,8 +321,11 @@
         loseHolds(turn, "the lease ended");
     if (change != HolderLease::Change::Granted)
         return;
-    for (auto& [partition, hold] : m_holds)
+    for (auto& [partition, hold] : m_holds) {
+        if (turn.now() < hold.wantedUntil || hold.knownHolder.isEmpty())
+            hold.nextAttempt = turn.now();
         tryHold(turn, partition, hold);
+    }
 }
 
 void QuotaHolder::loseHolds(Turn& turn, const std::string& reason)
--- a/Libraries/LibDecision/Quotas/QuotaHolder.h
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.h
@@ -105,6 +105,8 @@
     bool isProven(Instant now) const;
     bool isWanted(Instant now, const Hold&) const;
     void tryHold(Turn&, uint32_t partition, Hold&);
+    // Requests the lease if there is none. A process that only learns who holds a partition needs none.
+    bool hasLease(Turn&);
     void handleRead(Turn&, uint32_t partition, Hold&, const PlatformReply&);
     void handleAcquired(Turn&, uint32_t partition, Hold&, const PlatformReply&);
     void handleReleased(Turn&, Hold&, const PlatformReply&);
--- a/Libraries/LibDecision/Quotas/QuotaRequester.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaRequester.cpp
@@ -14,6 +14,8 @@
     constexpr Duration searchInterval = 50ms;
     // Number of replies that name another holder before the requester pauses.
     constexpr uint32_t maximumRedirections = 2;
+    // Number of replies without a holder after which the next candidate is asked.
+    constexpr uint32_t repliesPerCandidate = 4;
     // Number of candidates that are asked in turn.
     constexpr size_t candidateCount = 3;
     // Upper bound of the calls that wait.
@@ -124,7 +126,7 @@
     if (partition.question || !hasWaiting(partition) || turn.now() < partition.askAgainAt)
         return;
     Question question { ++m_lastSequence, targetOf(number, partition), turn.now(), clock.at(turn.now()), {} };
-    QuotaRequest request { question.sequence, number };
+    QuotaRequest request { .sequence = question.sequence, .partition = number, .requesterStart = m_self.incarnation };
     for (const auto& tenant : partition.tenants) {
         const auto& state = m_tenants.at(tenant);
         auto wanted = static_cast<uint32_t>(state.waiting.size());
@@ -139,7 +141,7 @@
 
 void QuotaRequester::receive(Turn& turn, const InstanceId& from, const QuotaReply& reply, const SuspensionClock& clock)
 {
-    if (reply.partition >= quotaPartitionCount || reply.requesterIncarnation != m_self.incarnation)
+    if (reply.partition >= quotaPartitionCount || reply.requesterStart != m_self.incarnation)
         return;
     auto& partition = m_partitions[reply.partition];
     if (!partition.question || partition.question->sequence != reply.sequence || partition.question->to != from) {
@@ -155,6 +157,7 @@
         partition.holder = from;
         partition.nextCandidate = 0;
         partition.redirections = 0;
+        partition.vacantReplies = 0;
         partition.unansweredSince.reset();
         bool isInTime = clock.at(turn.now()) - question.sentAtBoot < tokenValidity;
         for (const auto& grant : reply.grants)
@@ -173,7 +176,9 @@
         return;
     partition.redirections = 0;
     partition.holder = {};
-    ++partition.nextCandidate;
+    // The candidate is acquiring the vacant partition. If others were asked too, all of them would race for it.
+    if (++partition.vacantReplies % repliesPerCandidate == 0)
+        ++partition.nextCandidate;
     partition.askAgainAt = turn.now() + searchInterval;
     m_timeouts.set(reply.partition, partition.askAgainAt);
 }
--- a/Libraries/LibDecision/Quotas/QuotaRequester.h
+++ b/Libraries/LibDecision/Quotas/QuotaRequester.h
@@ -118,6 +118,8 @@
         // Since when no holder was found although calls waited.
         std::optional<Instant> unansweredSince;
         uint32_t redirections { 0 };
+        // Replies since the last one of a holder that named none.
+        uint32_t vacantReplies { 0 };
     };
 
     void countArrival(Instant now, TenantState&) const;
--- a/Libraries/LibDecision/Quotas/Quotas.h
+++ b/Libraries/LibDecision/Quotas/Quotas.h
@@ -11,6 +11,7 @@
 #include <numeric>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Decision {
@@ -146,7 +147,12 @@
         m_largestFleet = std::max(m_largestFleet, m_peers.liveMembers().size());
         if (m_peers.liveMembers().size() < 2 && m_largestFleet >= isolationFleetSize)
             return m_holder.stop(turn);
-        if (auto fingerprint = fingerprintOfMembers(); !m_candidacies || fingerprint != m_rankedMembers) {
+        // While members are still being learned, each process takes itself for the first candidate of many partitions.
+        auto fingerprint = fingerprintOfMembers();
+        bool isSettled = fingerprint == std::exchange(m_seenMembers, fingerprint);
+        if (!isSettled)
+            return;
+        if (!m_candidacies || fingerprint != m_rankedMembers) {
             m_rankedMembers = fingerprint;
             m_candidacies.emplace();
             for (uint32_t partition = 0; partition < quotaPartitionCount; ++partition)
@@ -209,6 +215,8 @@
     // The partitions whose first candidate this process is, and the members that they were determined from.
     std::optional<std::bitset<quotaPartitionCount>> m_candidacies;
     uint64_t m_rankedMembers { 0 };
+    // The members at the last ranking.
+    uint64_t m_seenMembers { 0 };
 };
 
 }
--- a/Tests/Bench/Capacity.cpp
+++ b/Tests/Bench/Capacity.cpp
@@ -39,6 +39,7 @@
             return member == m_members.end() ? nullptr : &member->second;
         }
         bool isReachable(const InstanceId&) const { return true; }
+        std::optional<Duration> roundTripTo(const ZoneName&) const { return std::nullopt; }
         const MemberRecord& self() const { return m_members.at(InstanceId("process-0")); }
 
     private:
--- a/Tests/Bench/FulmarPolicy.h
+++ b/Tests/Bench/FulmarPolicy.h
@@ -23,6 +23,7 @@
         return member == m_members.end() ? nullptr : &member->second;
     }
     bool isReachable(const InstanceId&) const { return true; }
+    std::optional<Duration> roundTripTo(const ZoneName&) const { return std::nullopt; }
     const MemberRecord& self() const { return *m_self; }
 
 private:
--- a/Tests/LibControl/MessageGenerators.h
+++ b/Tests/LibControl/MessageGenerators.h
@@ -127,7 +127,7 @@
         return ConfigurationProofReply { sequence, *anyNumber<Incarnation>(), *anyNumber<Revision>(), age, *rc::gen::arbitrary<uint64_t>() };
     }
     case 14:
-        return QuotaRequest { sequence, 5, { { *anyName<AccountId>(), 2, 3 } }, *rc::gen::arbitrary<bool>() };
+        return QuotaRequest { sequence, 5, { { *anyName<AccountId>(), 2, 3 } }, *rc::gen::arbitrary<bool>(), *anyNumber<Incarnation>() };
     case 15:
         return QuotaReply { sequence, *anyNumber<Incarnation>(), 6, *rc::gen::arbitrary<bool>(), *anyName<InstanceId>(), { { *anyName<AccountId>(), 1, 2, *rc::gen::arbitrary<bool>(), Duration(8), Duration(9) } } };
     default:
--- a/Tests/LibDecision/Quotas/TestQuotas.cpp
+++ b/Tests/LibDecision/Quotas/TestQuotas.cpp
@@ -239,7 +239,7 @@
     auto all = fleet.fleet().process(0).quotas().holder().heldCount();
     for (size_t process : { 1, 2, 3 })
         fleet.restart(process);
-    fleet.runFor(30s);
+    fleet.runFor(2min);
     size_t held = 0;
     for (size_t process = 0; process < 4; ++process) {
         held += fleet.fleet().process(process).quotas().holder().heldCount();
--- a/Tests/fulmard/TestTenants.cpp
+++ b/Tests/fulmard/TestTenants.cpp
@@ -1,6 +1,7 @@
 #include "DaemonTest.h"
 
 #include <LibTransport/HttpServer.h>
+#include <LibTransport/SuspendedTime.h>
 
 using namespace Testing;
 
