--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -143,6 +143,21 @@
     EXPECT_TRUE(runUntil([&] { return server->openConnections() == 0; }));
 }
 
+// Guards against closing a connection between two requests of a caller by the time for a head.
+TEST_F(BoundedServer, KeepsAConnectionThatIsIdleAfterAnAnswer)
+{
+    ServerLimits limits;
+    limits.headTimeout = 100ms;
+    limits.idleTimeout = 20s;
+    start(limits);
+    RawClient client(server->endpoint());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_NE(client.readUntil(loop, "done").find("200"), std::string::npos);
+    auto answered = loop.now();
+    EXPECT_FALSE(runUntil([&] { return !ends.empty() || loop.now() > answered + 3s; }) && !ends.empty());
+    EXPECT_EQ(server->openConnections(), 1u);
+}
+
 TEST_F(BoundedServer, ClosesAHeadThatIsTooLong)
 {
     ServerLimits limits;
