--- a/Tests/LibDecision/Node/TestTenantLoad.cpp
+++ b/Tests/LibDecision/Node/TestTenantLoad.cpp
@@ -68,7 +68,7 @@
         route.latencyObjective = 600ms;
         table->routes.push_back(route);
         for (size_t tenant = 0; tenant < tenantCount; ++tenant)
-            table->tenants.push_back({ .name = nameOf(tenant) });
+            table->tenants.push_back({ .name = nameOf(tenant), .keyDigests = { nameOf(tenant).value() } });
         NodeFleetOptions options { .routing = RoutingMode::RouteTable, .routes = table };
         options.defaultProfile.health.floor = 1;
         options.defaultProfile.lifecycle.coldStart = 0s;
@@ -98,7 +98,7 @@
             return;
         auto request = m_fleet.makeRequest("desk", Method::Get);
         request.account = nameOf(tenant);
-        m_fleet.send(tenant % nodeCount, std::move(request));
+        m_fleet.send(tenant % nodeCount, std::move(request), nameOf(tenant).value());
         std::exponential_distribution<double> gap(m_usualRate * (tenant == 0 ? m_hotFactor : 1));
         m_fleet.fleet().callLater(Duration(static_cast<int64_t>(gap(m_random) * 1e6)), [this, tenant] { sendNext(tenant); });
     }
