LibDecision: Serve tenants below their quota when calls come in bursts or the holder is out of reach

A bucket as deep as a burst of 5 refused one in twenty requests of a tenant that sends 3/s of its 5/s in bursts; half of the new tenants.quota-slack deepens it. An ingress that didn't reach the holder refused all of its tenants while the holder was alive; the question is forwarded by another process now. The first ranking waits at most 4 s for a stable view of the members. tenants.quota-window and quota-overshoot, read but unused so far, set how long a token counts.

Store calls: partitions share 16 groups of candidates (fewer leases to renew), a holder that was read is named for 3 s, and a vacant partition isn't read twice.

--- a/Libraries/LibControl/MessageFields.h
+++ b/Libraries/LibControl/MessageFields.h
@@ -333,6 +333,10 @@
     archive.field("needs", value.needs);
     archive.optionalField("wantsHandover", value.wantsHandover);
     archive.field("requesterStart", value.requesterStart);
+    archive.optionalField("forwardTo", value.forwardTo);
+    archive.optionalField("requester", value.requester);
+    archive.optionalField("requesterRoutesVersion", value.requesterRoutesVersion);
+    archive.optionalField("unanswering", value.unanswering);
 }
 
 template <typename Archive>
@@ -355,6 +359,7 @@
     archive.field("isHolder", value.isHolder);
     archive.optionalField("holder", value.holder);
     archive.field("grants", value.grants);
+    archive.optionalField("requester", value.requester);
 }
 
 template <typename Archive>
--- a/Libraries/LibDecision/Membership/RecordSize.cpp
+++ b/Libraries/LibDecision/Membership/RecordSize.cpp
@@ -118,8 +118,8 @@
         return std::transform_reduce(items.begin(), items.end(), size_t { 0 }, std::plus {}, [itemBytes](const Item& item) { return itemBytes + length(item.tenant); });
     }
 
-    size_t bodySize(const QuotaRequest& request) { return 3 * numberBytes + sizeOfTenants(request.needs, quotaNeedBytes); }
-    size_t bodySize(const QuotaReply& reply) { return 5 * numberBytes + length(reply.holder) + sizeOfTenants(reply.grants, quotaGrantBytes); }
+    size_t bodySize(const QuotaRequest& request) { return 4 * numberBytes + length(request.forwardTo) + length(request.requester) + length(request.unanswering) + sizeOfTenants(request.needs, quotaNeedBytes); }
+    size_t bodySize(const QuotaReply& reply) { return 5 * numberBytes + length(reply.holder) + length(reply.requester) + sizeOfTenants(reply.grants, quotaGrantBytes); }
 
 }
 
--- a/Libraries/LibDecision/Message.h
+++ b/Libraries/LibDecision/Message.h
@@ -359,6 +359,14 @@
     // Incarnation at the sender's start. A restarted process counts its sequences from 1 again, and the incarnation that its
     // messages carry rises while it runs.
     Incarnation requesterStart;
+    // The holder, if the sender doesn't reach it. The receiver forwards the request to it.
+    InstanceId forwardTo;
+    // If the request was forwarded: the process that asks, and the version of its route table.
+    InstanceId requester;
+    Revision requesterRoutesVersion;
+    // The holder that answered the sender neither directly nor through another process. Without it, the receiver may name
+    // a holder that it read in the store some seconds ago.
+    InstanceId unanswering;
 
     bool operator==(const QuotaRequest&) const = default;
 };
@@ -387,6 +395,8 @@
     // If the sender isn't the holder: the holder, as far as the sender knows; empty if it doesn't.
     InstanceId holder;
     std::vector<QuotaGrant> grants;
+    // If the request was forwarded: the process that asks. The receiver forwards the reply to it.
+    InstanceId requester;
 
     bool operator==(const QuotaReply&) const = default;
 };
--- a/Libraries/LibDecision/Quotas/QuotaBuckets.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaBuckets.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    double capacityOf(const Tenant& tenant) { return std::max(tenant.burst, QuotaBuckets::minimumCapacity); }
-
     Duration seconds(double count)
     {
         return std::chrono::ceil<Duration>(std::chrono::duration<double>(std::min(count, 3600.0)));
@@ -16,6 +14,8 @@
 
 }
 
+double QuotaBuckets::capacityOf(const Tenant& tenant) const { return std::max(tenant.burst + m_extraDepth, minimumCapacity); }
+
 QuotaBuckets::Bucket& QuotaBuckets::bucketOf(Instant now, const Tenant& tenant)
 {
     auto [entry, isNew] = m_buckets.try_emplace(tenant.name, Bucket { TokenBucket(capacityOf(tenant)), tenant.requestsPerSecond, now });
--- a/Libraries/LibDecision/Quotas/QuotaBuckets.h
+++ b/Libraries/LibDecision/Quotas/QuotaBuckets.h
@@ -11,12 +11,14 @@
 // The token buckets of one quota partition's tenants, at the partition's holder. They are empty when the holder begins.
 class QuotaBuckets {
 public:
-    // Capacity of a bucket whose tenant has a lower burst. With less, tokens that become due while a question is under way
+    // Capacity of a bucket whose tenant has a lower burst and no extra depth. With less, tokens that become due while a question is under way
     // would be lost. The slack of the bound on quotas (20 requests) covers it.
     static constexpr double minimumCapacity = 5;
 
-    explicit QuotaBuckets(Instant now)
+    // Each bucket holds the tenant's burst and the extra depth.
+    explicit QuotaBuckets(Instant now, double extraDepth = 0)
         : m_startedAt(now)
+        , m_extraDepth(extraDepth)
     {
     }
 
@@ -35,10 +37,12 @@
         Instant nextReturn;
     };
 
+    double capacityOf(const Tenant&) const;
     Bucket& bucketOf(Instant now, const Tenant&);
     static void spreadReturns(Instant now, Bucket&, uint32_t refused, QuotaGrant&);
 
     Instant m_startedAt;
+    double m_extraDepth;
     std::unordered_map<AccountId, Bucket> m_buckets;
 };
 
--- a/Libraries/LibDecision/Quotas/QuotaHolder.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.cpp
@@ -16,6 +16,11 @@
     // Interval between reads of the first candidate while another process holds the partition. Each process that is asked
     // tries a vacant one by itself, so this one only balances the load, and each read of the store is paid for.
     constexpr Duration candidateInterval = 30s;
+    // A holder that was read in the store is named to those that ask for this time. A holder that answers nobody is read
+    // again sooner.
+    constexpr Duration holderValidity = 3s;
+    // A partition without a holder is acquired without another read if the lease is granted within this time.
+    constexpr Duration vacancyValidity = 500ms;
     // A call without a reply is abandoned after this time, which is longer than the driver waits for the store. A late
     // acquisition is noticed by the next read.
     constexpr Duration callTimeout = 3s;
@@ -24,8 +29,6 @@
     // A holder hands over to the first candidate only after this time. Each handover leaves the partition without a holder
     // for about a second, and an uneven spread of partitions matters only over minutes.
     constexpr Duration shortestHold = 60s;
-    // Time from the last grant until no token can be used any more.
-    constexpr Duration releaseDelay = grantMargin;
     // Time that a leaving process allows the store to receive the end of its lease.
     constexpr Duration revocationTime = 200ms;
     constexpr Duration exceededLogInterval = 1s;
@@ -41,9 +44,10 @@
 
 }
 
-QuotaHolder::QuotaHolder(const ProcessIncarnation& self, const QuotaDirectory& directory)
+QuotaHolder::QuotaHolder(const ProcessIncarnation& self, const QuotaDirectory& directory, const QuotaTerms& terms)
     : m_self(self)
     , m_directory(directory)
+    , m_terms(terms)
 {
 }
 
@@ -72,7 +76,7 @@
         m_nextCheck.reset();
         return;
     }
-    m_stopAt = turn.now() + releaseDelay;
+    m_stopAt = turn.now() + m_terms.grantMargin();
     m_nextCheck = turn.now() + checkInterval;
 }
 
@@ -99,7 +103,7 @@
 bool QuotaHolder::isProven(Instant now) const
 {
     bool isEraSettled = m_eraSince && now >= *m_eraSince + quotaLeaseTime;
-    return m_lease && isEraSettled && m_lease->provenAt() > m_suspendedUntil && m_lease->remaining(now) > grantMargin;
+    return m_lease && isEraSettled && m_lease->provenAt() > m_suspendedUntil && m_lease->remaining(now) > m_terms.grantMargin();
 }
 
 bool QuotaHolder::canGrant(Instant now, uint32_t partition) const
@@ -129,22 +133,25 @@
 {
     const auto& request = incoming.request;
     ++m_counters.questions;
-    QuotaReply reply { request.sequence, request.requesterStart, request.partition };
+    QuotaReply reply { .sequence = request.sequence, .requesterStart = request.requesterStart, .partition = request.partition, .requester = request.requester };
     if (request.partition >= quotaPartitionCount || !isActive())
         return reply;
     if (!canGrant(turn.now(), request.partition)) {
         if (m_directory.isEmpty())
             return reply;
         auto& hold = m_holds[request.partition];
-        hold.wantedUntil = turn.now() + wantedTime;
-        hold.nextAttempt = std::min(hold.nextAttempt, hold.lastAttempt + wantedInterval);
-        tryHold(turn, request.partition, hold);
+        bool mustRead = !knowsOtherHolder(turn.now(), hold) || request.unanswering == hold.knownHolder;
+        if (mustRead) {
+            hold.wantedUntil = turn.now() + wantedTime;
+            hold.nextAttempt = std::min(hold.nextAttempt, hold.lastAttempt + wantedInterval);
+            tryHold(turn, request.partition, hold);
+        }
         reply.holder = hold.knownHolder;
         return reply;
     }
     auto& hold = m_holds.at(request.partition);
     if (request.wantsHandover && incoming.isFirstCandidate && turn.now() >= hold.heldSince + shortestHold) {
-        hold.releaseAt = turn.now() + releaseDelay;
+        hold.releaseAt = turn.now() + m_terms.grantMargin();
         hold.knownHolder = incoming.process.instance;
         reply.holder = hold.knownHolder;
         return reply;
@@ -191,6 +198,11 @@
     return isActive() && (hold.isCandidate || now < hold.wantedUntil || (hold.mayBeBound && m_lease && hold.lease == m_lease->lease()));
 }
 
+bool QuotaHolder::knowsOtherHolder(Instant now, const Hold& hold) const
+{
+    return hold.state == HoldState::Vacant && !hold.knownHolder.isEmpty() && hold.knownHolder != m_self.instance && now < hold.readAt + holderValidity;
+}
+
 void QuotaHolder::tryHold(Turn& turn, uint32_t partition, Hold& hold)
 {
     if (!m_nextCheck)
@@ -199,12 +211,24 @@
         return;
     if (m_lease && m_lease->isValid(turn.now()) && m_lease->lease() == hold.releasedLease)
         return;
-    hold.state = HoldState::Reading;
     hold.lastAttempt = turn.now();
+    if (hold.wasVacant && turn.now() < hold.readAt + vacancyValidity && m_lease && m_lease->isValid(turn.now()))
+        return acquire(turn, partition, hold);
+    hold.state = HoldState::Reading;
     hold.pendingSince = turn.now();
     hold.pending = turn.callPlatform(ReadPrefix { quotaKey(partition) });
 }
 
+void QuotaHolder::acquire(Turn& turn, uint32_t partition, Hold& hold)
+{
+    hold.state = HoldState::Acquiring;
+    hold.wasVacant = false;
+    hold.lease = m_lease->lease();
+    hold.mayBeBound = true;
+    hold.pendingSince = turn.now();
+    hold.pending = turn.callPlatform(AcquireKey { quotaKey(partition), m_self.instance.value(), hold.lease });
+}
+
 bool QuotaHolder::hasLease(Turn& turn)
 {
     if (!m_lease)
@@ -222,16 +246,12 @@
     auto key = std::ranges::find(reply.values, quotaKey(partition), &KeyValue::key);
     bool isOwn = m_lease && key != reply.values.end() && key->lease == m_lease->lease();
     bool isHeldByAnother = key != reply.values.end() && !key->lease.isEmpty() && !isOwn;
-    if (!isHeldByAnother && !hasLease(turn))
-        return;
-    if (!isHeldByAnother) {
-        hold.state = HoldState::Acquiring;
-        hold.lease = m_lease->lease();
-        hold.mayBeBound = true;
-        hold.pendingSince = turn.now();
-        hold.pending = turn.callPlatform(AcquireKey { quotaKey(partition), m_self.instance.value(), hold.lease });
+    hold.readAt = turn.now();
+    hold.wasVacant = !isHeldByAnother;
+    if (!isHeldByAnother && hasLease(turn))
+        acquire(turn, partition, hold);
+    if (!isHeldByAnother)
         return;
-    }
     hold.mayBeBound = false;
     hold.knownHolder = InstanceId(key->value);
     // Who asked is told the holder. If that one doesn't answer, this process is asked again.
@@ -252,7 +272,7 @@
     hold.state = HoldState::Held;
     hold.heldSince = turn.now();
     hold.knownHolder = m_self.instance;
-    hold.buckets.emplace(turn.now());
+    hold.buckets.emplace(turn.now(), m_terms.extraDepth);
     ++m_counters.acquisitions;
     explain(turn, DecisionKind::QuotaAcquired, nameOfPartition(partition) + ": the buckets start empty; the lease is proven for " + milliseconds(m_lease->remaining(turn.now())));
 }
--- a/Libraries/LibDecision/Quotas/QuotaHolder.h
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.h
@@ -42,7 +42,7 @@
 // process that has just started and doesn't know of the earlier era.
 class QuotaHolder {
 public:
-    QuotaHolder(const ProcessIncarnation& self, const QuotaDirectory&);
+    QuotaHolder(const ProcessIncarnation& self, const QuotaDirectory&, const QuotaTerms&);
 
     // Sets the partitions that this process acquires without being asked, because it is their first candidate.
     void setCandidacies(Turn&, std::vector<uint32_t> partitions);
@@ -99,12 +99,18 @@
         Instant heldSince;
         std::optional<Instant> releaseAt;
         InstanceId knownHolder;
+        // When the store was read last, and whether it told no holder.
+        Instant readAt;
+        bool wasVacant { false };
     };
 
     bool isActive() const { return !m_isLeaving && !m_stopAt; }
     bool isProven(Instant now) const;
     bool isWanted(Instant now, const Hold&) const;
+    // Returns true if the holder was read recently, so that asking processes can be told without another read.
+    bool knowsOtherHolder(Instant now, const Hold&) const;
     void tryHold(Turn&, uint32_t partition, Hold&);
+    void acquire(Turn&, uint32_t partition, Hold&);
     // Requests the lease if there is none. A process that only learns who holds a partition needs none.
     bool hasLease(Turn&);
     void handleRead(Turn&, uint32_t partition, Hold&, const PlatformReply&);
@@ -121,6 +127,7 @@
 
     ProcessIncarnation m_self;
     const QuotaDirectory& m_directory;
+    QuotaTerms m_terms;
     std::optional<HolderLease> m_lease;
     std::map<uint32_t, Hold> m_holds;
     std::vector<std::pair<uint32_t, InstanceId>> m_handoverWishes;
--- a/Libraries/LibDecision/Quotas/QuotaRequester.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaRequester.cpp
@@ -18,6 +18,9 @@
     constexpr uint32_t repliesPerCandidate = 4;
     // Number of candidates that are asked in turn.
     constexpr size_t candidateCount = 3;
+    // A holder that didn't answer here is asked through another process for this time, before it is asked directly again.
+    // Each direct question to it costs the calls that wait 100 ms.
+    constexpr Duration forwardingTime = 5s;
     // Upper bound of the calls that wait.
     constexpr size_t maximumWaitingCalls = 4096;
     // Upper bound of the tokens that are asked for ahead.
@@ -40,9 +43,10 @@
 
 }
 
-QuotaRequester::QuotaRequester(const ProcessIncarnation& self, const QuotaDirectory& directory, RankCandidates rank)
+QuotaRequester::QuotaRequester(const ProcessIncarnation& self, const QuotaDirectory& directory, const QuotaTerms& terms, RankCandidates rank)
     : m_self(self)
     , m_directory(directory)
+    , m_terms(terms)
     , m_rank(std::move(rank))
 {
 }
@@ -71,7 +75,7 @@
     }
     if (m_calls.contains(call.call))
         return;
-    auto wait = std::min(quotaWait, call.request.remaining.value_or(quotaWait));
+    auto wait = std::min(m_terms.longestWait(), call.request.remaining.value_or(m_terms.longestWait()));
     m_calls.emplace(call.call, WaitingCall { call, now, clock.at(now) + wait, number });
     if (now < state.noneBefore) {
         ++m_counters.exceededLocally;
@@ -87,8 +91,8 @@
 
 void QuotaRequester::countArrival(Instant now, TenantState& state) const
 {
-    if (now >= state.countedFrom + tokenAheadValidity) {
-        state.arrivalsBefore = now < state.countedFrom + 2 * tokenAheadValidity ? state.arrivals : 0;
+    if (now >= state.countedFrom + m_terms.aheadValidity()) {
+        state.arrivalsBefore = now < state.countedFrom + 2 * m_terms.aheadValidity() ? state.arrivals : 0;
         state.arrivals = 0;
         state.countedFrom = now;
     }
@@ -98,21 +102,30 @@
 // Expects as many calls until the tokens expire as arrived in the interval before. One alone isn't worth a token.
 uint32_t QuotaRequester::aheadOf(Instant now, const TenantState& state) const
 {
-    bool isRecent = now < state.countedFrom + tokenAheadValidity;
+    bool isRecent = now < state.countedFrom + m_terms.aheadValidity();
     auto expected = isRecent ? state.arrivalsBefore : 0;
     return expected < 2 ? 0 : std::min(expected, maximumAhead);
 }
 
 bool QuotaRequester::hasWaiting(const Partition& partition) const { return !partition.tenants.empty(); }
 
-InstanceId QuotaRequester::targetOf(uint32_t number, const Partition& partition) const
+QuotaRequester::Target QuotaRequester::targetOf(Instant now, uint32_t number, const Partition& partition) const
 {
+    bool isForwarded = !partition.forwarder.isEmpty() && now < partition.forwardUntil;
     if (!partition.holder.isEmpty())
-        return partition.holder;
+        return isForwarded ? Target { partition.forwarder, partition.holder } : Target { partition.holder, {} };
     auto candidates = m_rank(number);
     if (candidates.empty())
-        return m_self.instance;
-    return candidates[partition.nextCandidate % std::min(candidates.size(), candidateCount)];
+        return { m_self.instance, {} };
+    return { candidates[partition.nextCandidate % std::min(candidates.size(), candidateCount)], {} };
+}
+
+// Returns a candidate other than the holder and this process; empty if there is none.
+InstanceId QuotaRequester::chooseForwarder(uint32_t number, const Partition& partition) const
+{
+    auto candidates = m_rank(number);
+    std::erase_if(candidates, [&](const InstanceId& candidate) { return candidate == partition.holder || candidate == m_self.instance; });
+    return candidates.empty() ? InstanceId() : candidates[partition.nextCandidate % candidates.size()];
 }
 
 void QuotaRequester::ask(Turn& turn, const SuspensionClock& clock)
@@ -125,8 +138,8 @@
 {
     if (partition.question || !hasWaiting(partition) || turn.now() < partition.askAgainAt)
         return;
-    Question question { ++m_lastSequence, targetOf(number, partition), turn.now(), clock.at(turn.now()), {} };
-    QuotaRequest request { .sequence = question.sequence, .partition = number, .requesterStart = m_self.incarnation };
+    Question question { ++m_lastSequence, targetOf(turn.now(), number, partition), turn.now(), clock.at(turn.now()), {} };
+    QuotaRequest request { .sequence = question.sequence, .partition = number, .requesterStart = m_self.incarnation, .forwardTo = question.target.forwardTo, .unanswering = partition.unanswering };
     for (const auto& tenant : partition.tenants) {
         const auto& state = m_tenants.at(tenant);
         auto wanted = static_cast<uint32_t>(state.waiting.size());
@@ -134,7 +147,7 @@
         request.needs.push_back({ tenant, wanted, aheadOf(turn.now(), state) });
     }
     ++m_counters.questions;
-    m_requests.push_back({ question.to, std::move(request) });
+    m_requests.push_back({ question.target.to, std::move(request) });
     partition.question = std::move(question);
     m_timeouts.set(number, turn.now() + questionTimeout);
 }
@@ -144,7 +157,7 @@
     if (reply.partition >= quotaPartitionCount || reply.requesterStart != m_self.incarnation)
         return;
     auto& partition = m_partitions[reply.partition];
-    if (!partition.question || partition.question->sequence != reply.sequence || partition.question->to != from) {
+    if (!partition.question || partition.question->sequence != reply.sequence || partition.question->target.to != from) {
         ++m_counters.lateReplies;
         return;
     }
@@ -154,12 +167,8 @@
     ++m_counters.answeredQuestions;
     m_counters.roundTrips += turn.now() - question.sentAt;
     if (reply.isHolder) {
-        partition.holder = from;
-        partition.nextCandidate = 0;
-        partition.redirections = 0;
-        partition.vacantReplies = 0;
-        partition.unansweredSince.reset();
-        bool isInTime = clock.at(turn.now()) - question.sentAtBoot < tokenValidity;
+        noteHolder(partition, question.target, reply.requester == m_self.instance);
+        bool isInTime = clock.at(turn.now()) - question.sentAtBoot < m_terms.tokenValidity;
         for (const auto& grant : reply.grants)
             apply(turn, question, grant, isInTime, clock);
         // The holder leaves out a tenant that only a newer table has, which it is about to get.
@@ -171,7 +180,7 @@
         return;
     }
     bool namesAnother = !reply.holder.isEmpty() && reply.holder != from;
-    partition.holder = namesAnother ? reply.holder : InstanceId();
+    noteOtherHolder(turn.now(), partition, from, namesAnother ? reply.holder : InstanceId());
     if (namesAnother && ++partition.redirections <= maximumRedirections)
         return;
     partition.redirections = 0;
@@ -183,6 +192,49 @@
     m_timeouts.set(reply.partition, partition.askAgainAt);
 }
 
+void QuotaRequester::noteHolder(Partition& partition, const Target& target, bool isForwarded)
+{
+    partition.holder = isForwarded ? target.forwardTo : target.to;
+    if (!isForwarded) {
+        partition.forwarder = {};
+        partition.unanswering = {};
+    }
+    partition.nextCandidate = 0;
+    partition.redirections = 0;
+    partition.vacantReplies = 0;
+    partition.unansweredSince.reset();
+}
+
+// The process that names a holder which doesn't answer here may reach it.
+void QuotaRequester::noteOtherHolder(Instant now, Partition& partition, const InstanceId& from, const InstanceId& holder)
+{
+    bool isUnanswering = !holder.isEmpty() && holder == partition.unanswering;
+    partition.holder = holder;
+    partition.forwarder = isUnanswering ? from : InstanceId();
+    partition.forwardUntil = now + forwardingTime;
+}
+
+// A holder that doesn't answer is asked through another process. If that isn't answered either, a candidate is asked as
+// if there were no holder, so that a dead one is noticed.
+void QuotaRequester::noteUnanswered(Instant now, uint32_t number, Partition& partition, const Target& target)
+{
+    bool wasHolder = target.to == partition.holder;
+    if (wasHolder)
+        partition.unanswering = target.to;
+    auto forwarder = wasHolder ? chooseForwarder(number, partition) : InstanceId();
+    if (!forwarder.isEmpty()) {
+        partition.forwarder = forwarder;
+        partition.forwardUntil = now + forwardingTime;
+        return;
+    }
+    auto candidates = m_rank(number);
+    // The process that didn't answer isn't asked first again.
+    bool wasFirst = !candidates.empty() && (candidates.front() == target.to || candidates.front() == target.forwardTo);
+    partition.nextCandidate = partition.holder.isEmpty() ? partition.nextCandidate + 1 : (wasFirst ? 1 : 0);
+    partition.holder = {};
+    partition.forwarder = {};
+}
+
 void QuotaRequester::apply(Turn& turn, const Question& question, const QuotaGrant& grant, bool isInTime, const SuspensionClock& clock)
 {
     auto wanted = question.wanted.find(grant.tenant);
@@ -204,7 +256,7 @@
         }
     }
     state.tokensAhead = isInTime ? grant.tokensAhead : 0;
-    state.aheadUntil = question.sentAtBoot + tokenAheadValidity;
+    state.aheadUntil = question.sentAtBoot + m_terms.aheadValidity();
     if (!isRefused)
         return;
     state.noneBefore = now + grant.nextToken;
@@ -297,18 +349,14 @@
         if (!partition.question)
             continue;
         ++m_counters.unansweredQuestions;
-        auto candidates = m_rank(number);
-        // The process that didn't answer isn't asked first again.
-        bool wasFirst = !candidates.empty() && candidates.front() == partition.question->to;
-        partition.nextCandidate = partition.holder.isEmpty() ? partition.nextCandidate + 1 : (wasFirst ? 1 : 0);
-        partition.holder = {};
+        noteUnanswered(turn.now(), number, partition, partition.question->target);
         partition.question.reset();
     }
     for (auto id : m_expiries.takeDue(turn.now())) {
         auto& waiting = m_calls.at(id);
         auto& partition = m_partitions[waiting.partition];
         auto tenant = waiting.call.request.account;
-        bool isDeadline = waiting.call.request.remaining && *waiting.call.request.remaining <= quotaWait;
+        bool isDeadline = waiting.call.request.remaining && *waiting.call.request.remaining <= m_terms.longestWait();
         if (!isDeadline && !partition.unansweredSince) {
             partition.unansweredSince = waiting.arrivedAt;
             turn.recordDecision({ .kind = DecisionKind::QuotaUnanswered, .step = "quota", .peer = "local", .evidence = "partition " + std::to_string(waiting.partition) + ": no holder answered; requests of tenant " + tenant.value() + " and others are refused" });
--- a/Libraries/LibDecision/Quotas/QuotaRequester.h
+++ b/Libraries/LibDecision/Quotas/QuotaRequester.h
@@ -52,7 +52,7 @@
     // Returns the candidates for a partition, the first one first.
     using RankCandidates = std::function<std::vector<InstanceId>(uint32_t partition)>;
 
-    QuotaRequester(const ProcessIncarnation& self, const QuotaDirectory&, RankCandidates);
+    QuotaRequester(const ProcessIncarnation& self, const QuotaDirectory&, const QuotaTerms&, RankCandidates);
 
     // Must be called when the first quota comes into force.
     void start(Instant now) { m_pauseDetector.start(now); }
@@ -96,14 +96,19 @@
         uint32_t tokensAhead { 0 };
         // On the clock that counts suspended time.
         Instant aheadUntil;
-        // Arrivals in the current interval of tokenAheadValidity and the one before.
+        // Arrivals in the current interval of the validity of tokens ahead and the one before.
         Instant countedFrom;
         uint32_t arrivals { 0 };
         uint32_t arrivalsBefore { 0 };
     };
+    // The process that is asked, and the holder if that one forwards the question.
+    struct Target {
+        InstanceId to;
+        InstanceId forwardTo;
+    };
     struct Question {
         uint64_t sequence { 0 };
-        InstanceId to;
+        Target target;
         Instant sentAt;
         // On the clock that counts suspended time, or earlier.
         Instant sentAtBoot;
@@ -113,6 +118,11 @@
         std::optional<Question> question;
         std::vector<AccountId> tenants;
         InstanceId holder;
+        // The process through which the holder is asked until the instant, because it didn't answer here.
+        InstanceId forwarder;
+        Instant forwardUntil;
+        // The holder that didn't answer last.
+        InstanceId unanswering;
         size_t nextCandidate { 0 };
         Instant askAgainAt;
         // Since when no holder was found although calls waited.
@@ -126,7 +136,11 @@
     uint32_t aheadOf(Instant now, const TenantState&) const;
     bool hasWaiting(const Partition&) const;
     void askPartition(Turn&, uint32_t number, Partition&, const SuspensionClock&);
-    InstanceId targetOf(uint32_t number, const Partition&) const;
+    Target targetOf(Instant now, uint32_t number, const Partition&) const;
+    InstanceId chooseForwarder(uint32_t number, const Partition&) const;
+    void noteUnanswered(Instant now, uint32_t number, Partition&, const Target&);
+    static void noteHolder(Partition&, const Target&, bool isForwarded);
+    static void noteOtherHolder(Instant now, Partition&, const InstanceId& from, const InstanceId& holder);
     void apply(Turn&, const Question&, const QuotaGrant&, bool isInTime, const SuspensionClock&);
     void refuseExceeded(Instant now, TenantState&, const AccountId&, CallId);
     void refuseUnavailable(Turn&, CallId, Reason);
@@ -137,6 +151,7 @@
 
     ProcessIncarnation m_self;
     const QuotaDirectory& m_directory;
+    QuotaTerms m_terms;
     RankCandidates m_rank;
     PauseDetector m_pauseDetector;
     // Input that is read before this instant may have waited while the machine was suspended.
--- a/Libraries/LibDecision/Quotas/QuotaTerms.h
+++ b/Libraries/LibDecision/Quotas/QuotaTerms.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibDecision/Rendezvous.h>
+#include <LibModel/Tenant.h>
 #include <LibModel/Time.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -14,21 +16,44 @@
 // at most 64 leases, each renewed twice a second. Processes of different versions must use the same number.
 constexpr uint32_t quotaPartitionCount = 64;
 
-// A token counts only if its reply arrives within this time after the question was sent.
-constexpr Duration tokenValidity = 500ms;
-// A request waits for a token for this time at most.
-constexpr Duration quotaWait = 400ms;
-// Tokens that were granted ahead count for this time after the question was sent. Together with the longest wait it is
-// the token's validity: a request takes a token that was granted within that time before it or that time after it, so
-// the requests of a window of 5 s take tokens that were granted within 5.5 s.
-constexpr Duration tokenAheadValidity = tokenValidity - quotaWait;
+// Longest validity of a token. Longer questions help no caller.
+constexpr Duration longestTokenValidity = 500ms;
+// Shortest validity of a token: with less, questions to processes in other zones would often be answered too late.
+constexpr Duration shortestTokenValidity = 100ms;
+// Tokens that were granted ahead count for this part of a token's validity.
+constexpr int aheadValidityDivisor = 5;
 // The clock of a process runs at most this share slower than the others'.
 constexpr int clockRateDivisor = 10;
 // Suspended time up to this length isn't noticed, because it is the difference of two clocks that are read one after
 // the other.
 constexpr Duration suspensionTolerance = 50ms;
-// A holder grants only if its lease lasts for longer than this, so that no token is used after the lease's end.
-constexpr Duration grantMargin = tokenValidity + tokenValidity / clockRateDivisor + suspensionTolerance;
+
+// What the settings on tenants mean for tokens and buckets.
+struct QuotaTerms {
+    // A token counts only if its reply arrives within this time after the question was sent.
+    Duration tokenValidity { longestTokenValidity };
+    // Tokens by which each bucket is deeper than the tenant's burst.
+    double extraDepth { 0 };
+
+    // The requests of a window take tokens that were granted within the window and one validity more, so the validity is
+    // the share of the window by which a quota may be exceeded. Half of the slack deepens the buckets: callers below their
+    // rate come in clumps, which a burst of a few tokens would refuse. The other half covers requests in transit and
+    // pauses that aren't noticed.
+    static QuotaTerms from(const TenantTerms& terms)
+    {
+        auto validity = std::chrono::duration_cast<Duration>(terms.quotaWindow * terms.quotaOvershoot);
+        return { std::clamp(validity, shortestTokenValidity, longestTokenValidity), terms.quotaSlack / 2 };
+    }
+
+    // Tokens that were granted ahead count for this time after the question was sent. Together with the longest wait it is
+    // the token's validity: a request takes a token that was granted within the longest wait after its arrival or this time
+    // before it.
+    Duration aheadValidity() const { return tokenValidity / aheadValidityDivisor; }
+    // A request waits for a token for this time at most.
+    Duration longestWait() const { return tokenValidity - aheadValidity(); }
+    // A holder grants only if its lease lasts for longer than this, so that no token is used after the lease's end.
+    Duration grantMargin() const { return tokenValidity + tokenValidity / clockRateDivisor + suspensionTolerance; }
+};
 
 // The store grants leases of at least 1 s. The lease is renewed three times in this time; a shorter one leaves less
 // than two renewals before the holder has to stop granting.
--- a/Libraries/LibDecision/Quotas/Quotas.h
+++ b/Libraries/LibDecision/Quotas/Quotas.h
@@ -5,6 +5,7 @@
 #include <LibDecision/Quotas/QuotaRequester.h>
 
 #include <algorithm>
+#include <bit>
 #include <bitset>
 #include <functional>
 #include <memory>
@@ -23,11 +24,11 @@
 template <ClaimPeers Peers>
 class Quotas {
 public:
-    Quotas(const MemberRecord& self, const Peers& peers)
+    Quotas(const TenantTerms& terms, const MemberRecord& self, const Peers& peers)
         : m_self { self.instance, self.incarnation }
         , m_peers(peers)
-        , m_holder(m_self, m_directory)
-        , m_requester(m_self, m_directory, [this](uint32_t partition) { return candidatesOf(partition); })
+        , m_holder(m_self, m_directory, QuotaTerms::from(terms))
+        , m_requester(m_self, m_directory, QuotaTerms::from(terms), [this](uint32_t partition) { return candidatesOf(partition); })
     {
     }
 
@@ -45,6 +46,7 @@
         }
         m_requester.start(turn.now());
         m_rankAt = turn.now() + settlingTime;
+        m_settleUntil = turn.now() + longestSettling;
     }
 
     // Returns the tenant's quota; null if it has none.
@@ -64,9 +66,15 @@
     {
         if (const auto* request = std::get_if<QuotaRequest>(&message.body)) {
             observe(turn, suspendedTime);
-            turn.emit(SendMessage { message.fromControl, message.from, answer(turn, { message.from, message.fromIncarnation }, message.routesVersion, *request) });
+            if (mustForward(*request))
+                return forward(turn, message, *request);
+            auto version = request->requester.isEmpty() ? message.routesVersion : request->requesterRoutesVersion;
+            turn.emit(SendMessage { message.fromControl, message.from, answer(turn, { message.from, message.fromIncarnation }, version, *request) });
         } else if (const auto* reply = std::get_if<QuotaReply>(&message.body)) {
             observe(turn, suspendedTime);
+            bool isForOther = !reply->requester.isEmpty() && reply->requester != m_self.instance;
+            if (isForOther)
+                return send(turn, reply->requester, *reply);
             m_requester.receive(turn, message.from, *reply, m_clock);
             flush(turn);
         }
@@ -111,8 +119,13 @@
 
 private:
     static constexpr size_t candidateCount = 3;
+    static constexpr size_t fewestHolders = 16;
+    static constexpr size_t processesPerHolder = 8;
     // A process that has just started knows too few others to tell which partitions it should hold.
     static constexpr Duration settlingTime = 2s;
+    // A fleet that starts learns its members for longer than this. A partition that a process acquires too early is in the
+    // wrong hands for a while, but one without a holder refuses the first requests.
+    static constexpr Duration longestSettling = 4s;
     // How often a process determines which partitions it should hold.
     static constexpr Duration rankInterval = 2s;
     // A process that reaches no other one of a fleet of this size gives up its partitions, because nobody can ask it. In
@@ -139,7 +152,14 @@
         return std::ranges::none_of(m_peers.liveMembers(), [&](const InstanceId& member) { return rendezvousWeight(topic, member.value()) > weight; });
     }
 
-    static std::string topicOf(uint32_t partition) { return "quota/" + std::to_string(partition); }
+    // The partitions of one group have the same candidates. Each holder renews a lease in the store twice a second, which is
+    // paid for, so a fleet of some hundred processes has fewer holders than partitions. The number of groups depends on the
+    // fleet only above 256 processes, because a view of the members that is still growing would move partitions about.
+    std::string topicOf(uint32_t partition) const
+    {
+        auto groups = std::clamp<size_t>(std::bit_floor(m_peers.liveMembers().size() / processesPerHolder), fewestHolders, quotaPartitionCount);
+        return "quota/" + std::to_string(partition % groups);
+    }
 
     void rank(Turn& turn)
     {
@@ -150,7 +170,8 @@
         // While members are still being learned, each process takes itself for the first candidate of many partitions.
         auto fingerprint = fingerprintOfMembers();
         bool isSettled = fingerprint == std::exchange(m_seenMembers, fingerprint);
-        if (!isSettled)
+        bool mayWait = !m_candidacies && turn.now() < m_settleUntil;
+        if (!isSettled && (m_candidacies || mayWait))
             return;
         if (!m_candidacies || fingerprint != m_rankedMembers) {
             m_rankedMembers = fingerprint;
@@ -179,6 +200,21 @@
         return m_holder.answer(turn, { from, routesVersion, isFirst, request });
     }
 
+    // A request is forwarded once at most, and not to a process that is gone: then this one is asked for the holder.
+    bool mustForward(const QuotaRequest& request) const
+    {
+        bool hasOtherHolder = !request.forwardTo.isEmpty() && request.forwardTo != m_self.instance;
+        return hasOtherHolder && request.requester.isEmpty() && m_peers.find(request.forwardTo) && m_peers.isReachable(request.forwardTo);
+    }
+
+    void forward(Turn& turn, const Message& message, QuotaRequest request)
+    {
+        auto holder = std::exchange(request.forwardTo, {});
+        request.requester = message.from;
+        request.requesterRoutesVersion = message.routesVersion;
+        send(turn, holder, std::move(request));
+    }
+
     void send(Turn& turn, const InstanceId& to, MessageBody body)
     {
         const auto* member = m_peers.find(to);
@@ -211,6 +247,8 @@
     QuotaRequester m_requester;
     // When to determine again which partitions this process should hold.
     std::optional<Instant> m_rankAt;
+    // Until when the first ranking waits for a view of the members that doesn't change.
+    Instant m_settleUntil;
     size_t m_largestFleet { 0 };
     // The partitions whose first candidate this process is, and the members that they were determined from.
     std::optional<std::bitset<quotaPartitionCount>> m_candidacies;
--- a/Libraries/LibModel/Settings.cpp
+++ b/Libraries/LibModel/Settings.cpp
@@ -51,6 +51,7 @@
         terms.revocationBound = reader.duration("revocation-bound", 1s, 1h, terms.revocationBound);
         terms.quotaWindow = reader.duration("quota-window", 1s, 1h, terms.quotaWindow);
         terms.quotaOvershoot = reader.number("quota-overshoot", 0, 1, terms.quotaOvershoot);
+        terms.quotaSlack = reader.number("quota-slack", 0, 1e6, terms.quotaSlack);
         reader.finish();
         return terms;
     }
--- a/Libraries/LibModel/Tenant.h
+++ b/Libraries/LibModel/Tenant.h
@@ -46,6 +46,8 @@
     Duration quotaWindow { 5s };
     // Share of a quota by which its window may be exceeded.
     double quotaOvershoot { 0.1 };
+    // Requests by which a quota may be exceeded besides.
+    double quotaSlack { 0 };
 
     bool operator==(const TenantTerms&) const = default;
 };
--- a/Tests/LibDecision/Quotas/QuotaFleet.h
+++ b/Tests/LibDecision/Quotas/QuotaFleet.h
@@ -51,6 +51,9 @@
     mutable std::vector<InstanceId> m_live;
 };
 
+// As the users' platform sets them.
+inline const TenantTerms quotaTerms { .quotaWindow = 5s, .quotaOvershoot = 0.1, .quotaSlack = 20 };
+
 // The quotas of one process, whose clock may run at another rate and stands still while the machine is suspended. A call
 // that may go on is answered, with no attempt.
 class QuotaProcess {
--- a/Tests/LibDecision/Quotas/TestQuotaBuckets.cpp
+++ b/Tests/LibDecision/Quotas/TestQuotaBuckets.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 using namespace Decision;
 
 namespace {
@@ -63,10 +65,34 @@
 // Requests of a window of 5 s take tokens that were granted within 5.5 s only if no token is used earlier or later.
 TEST(QuotaTerms, NoTokenIsUsedAfterTheLeaseThatItWasGrantedUnder)
 {
-    static_assert(quotaWait + tokenAheadValidity == tokenValidity);
-    static_assert(grantMargin > tokenValidity + suspensionTolerance);
-    // The lease is renewed every third of its time, and its proof is a tenth shorter.
-    static_assert(quotaLeaseTime - quotaLeaseTime / 10 - grantMargin > quotaLeaseTime / 3);
+    for (Duration window : { 1s, 2s, 5s, 60s }) {
+        auto terms = QuotaTerms::from({ .quotaWindow = window });
+        EXPECT_EQ(terms.longestWait() + terms.aheadValidity(), terms.tokenValidity);
+        EXPECT_LE(terms.tokenValidity, window / 10);
+        EXPECT_GT(terms.grantMargin(), terms.tokenValidity + suspensionTolerance);
+        // The lease is renewed every third of its time, and its proof is a tenth shorter.
+        EXPECT_GT(quotaLeaseTime - quotaLeaseTime / 10 - terms.grantMargin(), quotaLeaseTime / 3);
+    }
+}
+
+// A tenant that sends 3/s of its 5/s in clumps found its bucket of 5 tokens empty for one request in twenty.
+TEST(QuotaBuckets, ATenantBelowItsRateIsServedAlthoughItsCallersComeInClumps)
+{
+    std::mt19937_64 random(1);
+    std::exponential_distribution<double> pause(1.5);
+    auto tenant = makeTenant(5, 5);
+    auto refusedOf = [&](const QuotaTerms& terms) {
+        QuotaBuckets buckets(start, terms.extraDepth);
+        uint32_t refused = 0;
+        double at = 10;
+        for (int clump = 0; clump < 1000; ++clump) {
+            at += pause(random);
+            refused += 2 - take(buckets, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at)), tenant, 2);
+        }
+        return refused;
+    };
+    EXPECT_GT(refusedOf(QuotaTerms::from({})), 40u);
+    EXPECT_LT(refusedOf(QuotaTerms::from({ .quotaSlack = 20 })), 10u);
 }
 
 // A grant that is answered after a later lease was lost would be taken to last as long as that one.
