LibDecision, fulmard: Ask for a booking's outcome through another process

The answer of a run was lost to its caller when the path between ingress and sidecar failed after the run began: the ingress asked again over the same path until the deadline. With retries.settles-through-peers every other order that is sent again passes another process, which keeps no state; the guard against a second run is the one of all orders that are sent again.

--- a/Libraries/LibControl/RunEnvelope.cpp
+++ b/Libraries/LibControl/RunEnvelope.cpp
@@ -66,7 +66,7 @@
     return m_signer.sign(orderPurpose, text) + text;
 }
 
-RunOrder RunOrderChannel::open(std::string_view headerValue)
+RunOrder RunOrderChannel::verify(std::string_view headerValue) const
 {
     if (headerValue.size() < signatureLength)
         throw ControlError(Refusal::Malformed, "unknown", "the run order is too short");
@@ -76,6 +76,12 @@
 
     RunOrder order;
     JsonReader::read(parseJson(text), order);
+    return order;
+}
+
+RunOrder RunOrderChannel::open(std::string_view headerValue)
+{
+    auto order = verify(headerValue);
     if (order.to != m_controlEndpoint)
         throw ControlError(Refusal::WrongReceiver, order.from.value(), "addressed to " + order.to.toString());
     if (!m_replayGuard.accept(order.from, order.senderStart, order.sequence))
@@ -83,6 +89,13 @@
     return order;
 }
 
+std::optional<RunOrder> RunOrderChannel::findForwarded(std::string_view headerValue) const
+{
+    auto order = verify(headerValue);
+    bool isForOther = order.to != m_controlEndpoint && order.firstSentAgo > Model::Duration::zero();
+    return isForOther ? std::optional(std::move(order)) : std::nullopt;
+}
+
 std::string encodeRunResult(const RunResult& result)
 {
     return formatJson(JsonWriter::write(result));
--- a/Libraries/LibControl/RunEnvelope.h
+++ b/Libraries/LibControl/RunEnvelope.h
@@ -82,8 +82,13 @@
     std::string seal(RunOrder);
     // Verifies and decodes the header value. Throws ControlError if the order is refused.
     RunOrder open(std::string_view headerValue);
+    // Returns the order if it is to be forwarded: validly signed, sent again and addressed to another process. The process that
+    // it is addressed to checks that it isn't a replay.
+    std::optional<RunOrder> findForwarded(std::string_view headerValue) const;
 
 private:
+    RunOrder verify(std::string_view headerValue) const;
+
     Signer m_signer;
     Model::InstanceId m_self;
     Model::Incarnation m_startIncarnation;
--- a/Libraries/LibDecision/Calls/CallTable.h
+++ b/Libraries/LibDecision/Calls/CallTable.h
@@ -36,6 +36,10 @@
     {
         router.limitWait(service, now)
         } -> std::same_as<Duration>;
+    // Draws another process that may reach the sidecar; nullopt if none is known.
+    {
+        router.drawForwarder(turn, service, instance)
+        } -> std::same_as<std::optional<Forwarder>>;
     // Returns the endpoint at which the process accepts connections of the fleet; nullopt if the process is unknown or
     // unreachable.
     {
@@ -117,6 +121,8 @@
     static constexpr Duration longestLimitHint = 10s;
     // Interval at which a waiting request is routed again.
     static constexpr Duration routingInterval = 40ms;
+    // An attempt that takes this many times as long as usual is asked for, if its answer can still be in time.
+    static constexpr int silenceFactor = 3;
     // Delay before an attempt whose connection failed is sent again, to avoid a busy loop while the peer is down.
     static constexpr Duration resendDelay = 50ms;
     // Maximum number of sidecars that are tried for a free slot before the request may queue at one.
@@ -164,6 +170,8 @@
     bool canResend(const CallRecord&, Instant now) const;
     // Sends the current attempt again to the same sidecar, which recognises it and doesn't run it twice.
     void resend(Turn&, CallId, CallRecord&);
+    // Time from the sending of an attempt until its outcome is asked for.
+    Duration silenceLimit(const CallRecord&);
     void retryOrConclude(Turn&, CallId, CallRecord&, RetryKind);
     void replaceAttempt(Turn&, CallId, CallRecord&);
     void expire(Turn&, CallId, CallRecord&);
--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -353,7 +353,7 @@
     }
     // A silent connection is detected only by the missing answer.
     if (canResend(call, now))
-        due = std::min(due, now + std::max<Duration>(call.terms.latencyObjective, resendDelay));
+        due = std::min(due, now + silenceLimit(call));
     m_timers.set(id, due);
 }
 
@@ -514,11 +514,29 @@
     auto effect = call.forwarded;
     effect.remaining = call.deadline - turn.now();
     effect.firstSentAgo = turn.now() - call.attemptStartedAt;
+    // The direct way has just failed or is silent, so every other send takes it.
+    bool isForwarded = profileOf(call.request.service).retries.settlesThroughPeers && call.resends % 2 == 1 && !call.isReplay();
+    auto forwarder = isForwarded ? m_routing.drawForwarder(turn, call.request.service, effect.sidecar) : std::nullopt;
+    if (forwarder) {
+        effect.forwarder = forwarder->instance;
+        effect.forwarderControl = forwarder->control;
+    }
     turn.emit(std::move(effect));
-    explain(turn, DecisionKind::RequestSettled, call, "settle", "sent again " + std::to_string((turn.now() - call.attemptStartedAt) / 1ms) + " ms after the attempt was first sent");
+    std::string way = forwarder ? " through " + forwarder->instance.value() : "";
+    explain(turn, DecisionKind::RequestSettled, call, "settle", "sent again" + way + " " + std::to_string((turn.now() - call.attemptStartedAt) / 1ms) + " ms after the attempt was first sent");
     armTimer(id, call, turn.now());
 }
 
+template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
+Duration CallTable<Routing, Observer, Directory>::silenceLimit(const CallRecord& call)
+{
+    Duration objective = call.terms.latencyObjective;
+    if (!profileOf(call.request.service).retries.settlesThroughPeers)
+        return std::max<Duration>(objective, resendDelay);
+    // An answer that is asked for only at the objective is late in any case.
+    return std::max<Duration>(std::clamp<Duration>(silenceFactor * expectedDuration(call), objective / 2, objective), resendDelay);
+}
+
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 void CallTable<Routing, Observer, Directory>::retryOrConclude(Turn& turn, CallId id, CallRecord& call, RetryKind kind)
 {
--- a/Libraries/LibDecision/Effect.h
+++ b/Libraries/LibDecision/Effect.h
@@ -30,6 +30,9 @@
     uint32_t attemptNumber { 1 };
     InstanceId sidecar;
     Endpoint sidecarControl;
+    // The process that is to forward the order to the sidecar, and its control endpoint; empty if it is sent directly.
+    InstanceId forwarder;
+    Endpoint forwarderControl;
     BackendId backend;
     Incarnation incarnation;
     Duration remaining { 0 };
--- a/Libraries/LibDecision/Routing/Router.h
+++ b/Libraries/LibDecision/Routing/Router.h
@@ -74,6 +74,12 @@
         } -> std::same_as<std::optional<Duration>>;
 };
 
+// A process that forwards an order to a sidecar.
+struct Forwarder {
+    InstanceId instance;
+    Endpoint control;
+};
+
 // How requests were placed with regard to availability zones, where ZoneCrossing decides.
 struct CrossingCounts {
     // The zone's own backend servers had room enough.
@@ -117,6 +123,8 @@
 
     // The process's control endpoint; nullopt if the process is unknown or unreachable.
     std::optional<Endpoint> controlOf(const InstanceId&) const;
+    // Draws a sidecar of the service other than the given one, if possible in this process's own zone.
+    std::optional<Forwarder> drawForwarder(Turn&, const ServiceName&, const InstanceId& sidecar) const;
 
     const CrossingCounts& crossings() const { return m_crossings; }
 
@@ -235,6 +243,27 @@
     return member->control;
 }
 
+template <MembershipView Members>
+std::optional<Forwarder> Router<Members>::drawForwarder(Turn& turn, const ServiceName& service, const InstanceId& sidecar) const
+{
+    const auto& self = m_members.self();
+    std::optional<Forwarder> drawn;
+    bool isDrawnInZone = false;
+    uint32_t count = 0;
+    for (const auto* record : m_registry.backendsOf(service)) {
+        auto control = record->sidecar == sidecar || record->sidecar == self.instance ? std::nullopt : controlOf(record->sidecar);
+        bool isInZone = control && m_members.find(record->sidecar)->zone == self.zone;
+        if (!control || (isDrawnInZone && !isInZone))
+            continue;
+        if (isInZone && !std::exchange(isDrawnInZone, true))
+            count = 0;
+        // Each of the candidates so far is drawn with the same probability.
+        if (std::uniform_int_distribution<uint32_t>(0, count++)(turn.random()) == 0)
+            drawn = Forwarder { record->sidecar, *control };
+    }
+    return drawn;
+}
+
 template <MembershipView Members>
 Duration Router<Members>::limitWait(const ServiceName& service, Instant now) const
 {
--- a/Libraries/LibModel/Profile.cpp
+++ b/Libraries/LibModel/Profile.cpp
@@ -57,6 +57,7 @@
         RetryPolicy policy;
         policy.maximumAttempts = reader.wholeNumber("maximum-attempts", 1, 10, policy.maximumAttempts);
         policy.settles = reader.boolean("settles", policy.settles);
+        policy.settlesThroughPeers = reader.boolean("settles-through-peers", policy.settlesThroughPeers);
         policy.reroutes = reader.wholeNumber("reroutes", 0, 100, policy.reroutes);
         policy.budget = reader.number("budget", 0, 1, policy.budget);
         policy.minimumPerSecond = reader.number("minimum-per-second", 0, 100, policy.minimumPerSecond);
@@ -257,6 +258,7 @@
     SectionWriter(emitter, "retries")
         .entry("maximum-attempts", profile.retries.maximumAttempts)
         .entry("settles", profile.retries.settles)
+        .entry("settles-through-peers", profile.retries.settlesThroughPeers)
         .entry("reroutes", profile.retries.reroutes)
         .entry("budget", profile.retries.budget)
         .entry("minimum-per-second", profile.retries.minimumPerSecond)
--- a/Libraries/LibModel/Profile.h
+++ b/Libraries/LibModel/Profile.h
@@ -79,6 +79,8 @@
     // Whether an ingress whose connection to a sidecar is in doubt asks again what became of a request that may not
     // run twice.
     bool settles { false };
+    // Whether it asks through another process too, since only the path between the two may have failed. Needs `settles`.
+    bool settlesThroughPeers { false };
     // Refusals by sidecars that a request may meet beyond its sends. They reach no backend server, so they use up
     // neither sends nor budget; zero lets them.
     uint32_t reroutes { 0 };
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -92,6 +92,7 @@
     , m_reader(m_options.randomSeed, m_options.settings.edge)
     , m_sidecarCalls(m_client, m_observability, m_options.settings.instance, m_options.settings.limits, m_options.settings.edge, m_memory, [this](Decision::Input input) { m_driver.handle(std::move(input)); })
     , m_ingressCalls(ingressParties())
+    , m_forwardedOrders(m_client, m_options.settings.limits.answerBodyBytes, [this](Transport::ServerRequestId id, Transport::HttpResponse response) { m_controlServer.respond(id, std::move(response)); })
     , m_driver(loop, nodeOptions(), [this](const Decision::Effect& effect) { carryOut(effect); })
     , m_operatorApi(m_options.settings.operatorKey, m_driver, m_observability.journal(), [this] { return m_loop.now(); })
 {
@@ -280,7 +281,10 @@
 void Daemon::handleRunOrder(Transport::ServerRequestId id, Transport::HttpRequest request)
 {
     try {
-        auto order = m_orders.open(*Transport::findHeader(request.headers, runHeader));
+        auto header = *Transport::findHeader(request.headers, runHeader);
+        if (auto forwarded = m_orders.findForwarded(header))
+            return m_forwardedOrders.forward(id, *forwarded, std::move(request));
+        auto order = m_orders.open(header);
         std::string traceparent(Transport::findHeader(request.headers, "traceparent").value_or(""));
         auto shared = std::make_shared<const Transport::HttpRequest>(std::move(request));
         auto call = m_sidecarCalls.arrive(order, std::move(shared), traceparent, [this, id](SidecarReply reply) { respondRun(id, std::move(reply)); });
@@ -305,6 +309,7 @@
 
 void Daemon::handleControlGone(Transport::ServerRequestId id)
 {
+    m_forwardedOrders.senderGone(id);
     auto run = m_remoteRuns.extract(id);
     if (run)
         m_sidecarCalls.cancel(run.mapped());
--- a/Services/fulmard/Daemon.h
+++ b/Services/fulmard/Daemon.h
@@ -7,6 +7,7 @@
 #include <LibTransport/EventLoop.h>
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/HttpServer.h>
+#include <Services/fulmard/ForwardedOrders.h>
 #include <Services/fulmard/IngressCalls.h>
 #include <Services/fulmard/NodeDriver.h>
 #include <Services/fulmard/Observability.h>
@@ -122,6 +123,7 @@
     RequestReader m_reader;
     SidecarCalls m_sidecarCalls;
     IngressCalls m_ingressCalls;
+    ForwardedOrders m_forwardedOrders;
     std::unordered_map<Transport::ServerRequestId, SidecarCallId> m_remoteRuns;
     NodeDriver m_driver;
     // Empty until the core is there.
--- a/Services/fulmard/IngressCalls.cpp
+++ b/Services/fulmard/IngressCalls.cpp
@@ -48,7 +48,7 @@
     }
 
     // Gives what the answer of another process means. An answer without a readable result may come from anything.
-    AttemptReport reportOfRemote(const Transport::ClientResult& result)
+    AttemptReport reportOfRemote(const Transport::ClientResult& result, bool isForwarded)
     {
         AttemptReport report;
         report.result = attemptResultOf(result.status);
@@ -61,6 +61,10 @@
                 report.result = AttemptResult::Malformed;
             }
         }
+        // A process that couldn't forward the order, or of an earlier version, says nothing about the sidecar.
+        bool isFromForwarder = report.result == AttemptResult::Malformed || report.reason == Reason::BadRequest;
+        if (isForwarded && isFromForwarder)
+            report = { .result = AttemptResult::ConnectionLost, .reason = Reason::AnswerCut };
         report.elapsed = result.elapsed;
         return report;
     }
@@ -201,7 +205,8 @@
 void IngressCalls::sendRemote(const Call& call, Attempt& attempt, const Decision::ForwardCall& effect, const Control::RunOrder& order)
 {
     Transport::ClientRequest request;
-    request.to = effect.sidecarControl;
+    bool isForwarded = !effect.forwarder.isEmpty();
+    request.to = isForwarded ? effect.forwarderControl : effect.sidecarControl;
     request.request = Transport::withoutBody(*call.request);
     request.bodyOf = call.request;
     if (m_parties.observability.tracer().mustPropagate(*attempt.span))
@@ -214,7 +219,7 @@
     request.maximumConnections = connectionsPerSidecar;
     request.idleConnectionTimeout = sidecarIdleTimeout;
     request.maximumAnswerBytes = m_parties.maximumAnswerBytes;
-    auto handler = [this, id = effect.call, attemptId = effect.attempt](Transport::ClientResult result) { finishRemote(id, attemptId, std::move(result)); };
+    auto handler = [this, id = effect.call, attemptId = effect.attempt, isForwarded](Transport::ClientResult result) { finishRemote(id, attemptId, std::move(result), isForwarded); };
     attempt.remote = m_parties.client.send(std::move(request), std::move(handler));
 }
 
@@ -228,9 +233,9 @@
     finish(id, attempt, report, std::move(reply.response));
 }
 
-void IngressCalls::finishRemote(CallId id, AttemptId attempt, Transport::ClientResult result)
+void IngressCalls::finishRemote(CallId id, AttemptId attempt, Transport::ClientResult result, bool isForwarded)
 {
-    auto report = reportOfRemote(result);
+    auto report = reportOfRemote(result, isForwarded);
     finish(id, attempt, report, std::move(result.response));
 }
 
--- a/Services/fulmard/IngressCalls.h
+++ b/Services/fulmard/IngressCalls.h
@@ -78,7 +78,7 @@
     void sendLocal(const Call&, Attempt&, const Decision::ForwardCall&, const Control::RunOrder&);
     void sendRemote(const Call&, Attempt&, const Decision::ForwardCall&, const Control::RunOrder&);
     void finishLocal(CallId, AttemptId, SidecarReply);
-    void finishRemote(CallId, AttemptId, Transport::ClientResult);
+    void finishRemote(CallId, AttemptId, Transport::ClientResult, bool isForwarded);
     void finish(CallId, AttemptId, Decision::AttemptReport, Transport::HttpResponse);
     void cancel(Attempt&);
     void respond(CallId, Outcome, Reason, Transport::HttpResponse);
--- a/Tests/LibDecision/Calls/CallRig.h
+++ b/Tests/LibDecision/Calls/CallRig.h
@@ -36,11 +36,13 @@
     void attemptFinished(Turn&, const BackendId& backend, const AttemptReport&) { --outstanding[backend]; }
     Duration limitWait(const ServiceName&, Instant) const { return allLimitedFor; }
     std::optional<Endpoint> controlOf(const InstanceId&) const { return keeperControl; }
+    std::optional<Forwarder> drawForwarder(Turn&, const ServiceName&, const InstanceId&) const { return forwarder; }
 
     static constexpr Incarnation sidecarStart { 7 };
 
     std::vector<BackendId> backends { BackendId("a"), BackendId("b"), BackendId("c"), BackendId("d") };
     std::optional<Endpoint> keeperControl { Endpoint { "127.0.0.1", 9001 } };
+    std::optional<Forwarder> forwarder { { InstanceId("other"), { "127.0.0.1", 9002 } } };
     std::map<BackendId, int> outstanding;
     bool isFull { false };
     // How long the limits of all backend servers let no request through.
--- a/Tests/LibDecision/Calls/TestResend.cpp
+++ b/Tests/LibDecision/Calls/TestResend.cpp
@@ -67,6 +67,60 @@
     EXPECT_EQ(effectsOf<ForwardCall>(rig.advance(1ms)).size(), 1u);
 }
 
+// The path to the sidecar may have failed alone, and its kept answer would be lost to the caller.
+TEST(Resend, AsksThroughAnotherProcessAndDirectlyByTurns)
+{
+    auto profile = resendingProfile();
+    profile.retries.settlesThroughPeers = true;
+    CallRig rig(profile);
+    auto first = effectsOf<ForwardCall>(rig.arrive(nonIdempotentArrival(1)));
+    EXPECT_TRUE(first.front().forwarder.isEmpty());
+    auto second = effectsOf<ForwardCall>(rig.advance(600ms));
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_EQ(second.front().forwarder, InstanceId("other"));
+    EXPECT_EQ(second.front().sidecar, first.front().sidecar);
+    EXPECT_EQ(second.front().attempt, first.front().attempt);
+    EXPECT_GT(second.front().firstSentAgo, Duration::zero());
+    auto third = effectsOf<ForwardCall>(rig.advance(600ms));
+    ASSERT_EQ(third.size(), 1u);
+    EXPECT_TRUE(third.front().forwarder.isEmpty());
+}
+
+// Without another process, and without the setting, the order goes to the sidecar as before.
+TEST(Resend, AsksDirectlyIfNoOtherProcessIsKnownOrAllowed)
+{
+    for (bool isAllowed : { false, true }) {
+        auto profile = resendingProfile();
+        profile.retries.settlesThroughPeers = isAllowed;
+        CallRig rig(profile);
+        if (isAllowed)
+            rig.router.forwarder.reset();
+        rig.arrive(nonIdempotentArrival(1));
+        auto again = effectsOf<ForwardCall>(rig.advance(600ms));
+        ASSERT_EQ(again.size(), 1u);
+        EXPECT_TRUE(again.front().forwarder.isEmpty());
+    }
+}
+
+// An answer that is asked for at the objective is late in any case.
+TEST(Resend, AsksEarlierForARequestThatUsuallyTakesAFractionOfItsObjective)
+{
+    auto profile = resendingProfile();
+    profile.retries.settlesThroughPeers = true;
+    CallRig rig(profile);
+    AttemptReport answer;
+    answer.hasLoad = true;
+    answer.status = 200;
+    for (uint64_t call = 1; call <= 20; ++call) {
+        rig.arrive(nonIdempotentArrival(call));
+        rig.now += 100ms;
+        rig.finish(call, call, answer);
+    }
+    rig.arrive(nonIdempotentArrival(21));
+    EXPECT_TRUE(effectsOf<ForwardCall>(rig.advance(299ms)).empty());
+    EXPECT_EQ(effectsOf<ForwardCall>(rig.advance(101ms)).size(), 1u);
+}
+
 TEST(Resend, DoesNotResendAfterTheSidecarReportedAnUnknownOutcome)
 {
     CallRig rig(resendingProfile());
--- a/Tests/LibDecision/Node/NodeFleet.cpp
+++ b/Tests/LibDecision/Node/NodeFleet.cpp
@@ -310,6 +310,10 @@
         return;
     }
 
+    if (!effect.forwarder.isEmpty()) {
+        m_fleet.callLater(transitTime(), [this, forwarded, effect] { forwardOrder(forwarded, effect, nodeOf(effect.forwarder)); });
+        return;
+    }
     bool isUnreachable = isCut(node, sidecar) || !m_fleet.isRunning(sidecar);
     if (isUnreachable) {
         auto wait = m_fleet.isRunning(sidecar) ? std::min(connectTimeout, effect.remaining) : networkDelay();
@@ -322,6 +326,22 @@
         connect(forwarded, effect);
 }
 
+// A forwarding process learns late or never that the ingress has closed its connection, so the order arrives in any case.
+void NodeFleet::forwardOrder(const ForwardedCall& forwarded, const ForwardCall& effect, size_t forwarder)
+{
+    bool isForwarding = m_fleet.isRunning(forwarder) && !isCut(forwarded.ingress, forwarder) && !isCut(forwarder, forwarded.sidecar);
+    if (!isForwarding || !m_fleet.isRunning(forwarded.sidecar)) {
+        report(forwarded, { .result = AttemptResult::ConnectionLost, .reason = Reason::AnswerCut }, networkDelay(), {});
+        return;
+    }
+    m_fleet.callLater(transitTime(), [this, forwarded, effect, forwarder] {
+        if (m_fleet.isRunning(forwarder))
+            arrive(forwarded, effect, forwarder);
+        else
+            report(forwarded, { .result = AttemptResult::ConnectionLost, .reason = Reason::AnswerCut }, networkDelay(), {});
+    });
+}
+
 void NodeFleet::connect(const ForwardedCall& forwarded, const ForwardCall& effect)
 {
     // A connection that is closed before it is open carries no byte.
@@ -340,8 +360,9 @@
     });
 }
 
-void NodeFleet::arrive(ForwardedCall forwarded, const ForwardCall& effect)
+void NodeFleet::arrive(ForwardedCall forwarded, const ForwardCall& effect, std::optional<size_t> forwarder)
 {
+    forwarded.forwarder = forwarder;
     if (!m_fleet.isRunning(forwarded.sidecar)) {
         report(forwarded, { .result = AttemptResult::ConnectionLost, .reason = Reason::AnswerCut }, networkDelay(), {});
         return;
@@ -410,7 +431,9 @@
     if (entry == m_forwardedCalls.end())
         return;
     // An answer on a cut network path is lost; the attempt ends at its deadline.
-    if (node != entry->second.ingress && isCut(node, entry->second.ingress))
+    auto answered = entry->second.forwarder.value_or(entry->second.ingress);
+    bool isLost = (node != answered && isCut(node, answered)) || (answered != entry->second.ingress && isCut(answered, entry->second.ingress));
+    if (isLost)
         return;
     auto forwarded = entry->second;
     m_forwardedCalls.erase(entry);
--- a/Tests/LibDecision/Node/NodeFleet.h
+++ b/Tests/LibDecision/Node/NodeFleet.h
@@ -195,6 +195,8 @@
         RequestInfo request;
         // Which of the sends in this fleet it is; an attempt may be sent several times.
         uint64_t send { 0 };
+        // The process that the order and its answer pass through; nullopt if the connection is direct.
+        std::optional<size_t> forwarder;
     };
 
     using AttemptKey = std::tuple<size_t, CallId, AttemptId>;
@@ -248,8 +250,9 @@
     // Closes the connection of the attempt's earlier send, which is in doubt.
     void closeEarlierSend(const AttemptKey&);
     // Opens the connection of a send to the process that is there now.
+    void forwardOrder(const ForwardedCall&, const ForwardCall&, size_t forwarder);
     void connect(const ForwardedCall&, const ForwardCall&);
-    void arrive(ForwardedCall, const ForwardCall&);
+    void arrive(ForwardedCall, const ForwardCall&, std::optional<size_t> forwarder = std::nullopt);
     void finishForwardedCall(size_t node, SidecarCallId, AttemptReport, RequestId answerOf);
     void report(const ForwardedCall&, AttemptReport, Duration delay, RequestId answerOf);
     void finishRun(SidecarKey, AttemptResult, uint16_t status, Reason = Reason::None);
--- a/Tests/LibDecision/Node/TestResentOrders.cpp
+++ b/Tests/LibDecision/Node/TestResentOrders.cpp
@@ -36,9 +36,9 @@
 // delayed by seconds.
 class ResentOrders {
 public:
-    ResentOrders(uint64_t seed, std::vector<ProcessFault> faults)
+    ResentOrders(uint64_t seed, std::vector<ProcessFault> faults, bool areForwarded)
         : m_faults(std::move(faults))
-        , m_fleet(seed, nodeCount, fleetOptions())
+        , m_fleet(seed, nodeCount, fleetOptions(areForwarded))
         , m_random(seed + 1)
     {
         m_fleet.fleet().cut = [this](size_t from, size_t to) { return m_cuts.contains({ from, to }); };
@@ -61,7 +61,7 @@
     const NodeFleet& fleet() const { return m_fleet; }
 
 private:
-    static NodeFleetOptions fleetOptions()
+    static NodeFleetOptions fleetOptions(bool areForwarded)
     {
         auto table = std::make_shared<RouteTable>();
         table->version = Revision(1);
@@ -77,6 +77,7 @@
         options.defaultProfile.capacity.queueTimeout = 2s;
         options.defaultProfile.capacity.callerWait = 2s;
         options.defaultProfile.retries.settles = true;
+        options.defaultProfile.retries.settlesThroughPeers = areForwarded;
         options.defaultProfile.retries.reroutes = 10;
         return options;
     }
@@ -135,16 +136,10 @@
     return faults;
 }
 
-}
-
-// Guards against docs/incidents/2026-12-06-resent-order.md: an order that is sent again and delayed in transit runs a second
-// time at a restarted process, or a request that ran is reported as not run.
-RC_GTEST_PROP(ResentOrderProperties, NothingRunsTwiceAndWhatRanIsNeverReportedAsNotRun, ())
+void expectOneRunAndTrueOutcomes(const NodeFleet& fleet)
 {
-    ResentOrders load(*rc::gen::arbitrary<uint64_t>(), arbitraryProcessFaults());
-    load.run();
     size_t answered = 0;
-    for (const auto& request : load.fleet().requests()) {
+    for (const auto& request : fleet.requests()) {
         RC_ASSERT(request.runs <= 1u);
         RC_ASSERT(request.outcomeCount <= 1u);
         if (request.callerOutcome == CallerOutcome::NotRun)
@@ -154,5 +149,46 @@
         answered += request.callerOutcome == CallerOutcome::Answered ? 1 : 0;
     }
     // Without answers the property would hold for a fleet that serves nothing.
-    RC_ASSERT(answered > load.fleet().requests().size() / 4);
+    RC_ASSERT(answered > fleet.requests().size() / 4);
+}
+
+}
+
+// Guards against docs/incidents/2026-12-06-resent-order.md: an order that is sent again and delayed in transit runs a second
+// time at a restarted process, or a request that ran is reported as not run.
+RC_GTEST_PROP(ResentOrderProperties, NothingRunsTwiceAndWhatRanIsNeverReportedAsNotRun, ())
+{
+    ResentOrders load(*rc::gen::arbitrary<uint64_t>(), arbitraryProcessFaults(), false);
+    load.run();
+    expectOneRunAndTrueOutcomes(load.fleet());
+}
+
+// A process that forwards orders may hold them for seconds and deliver them after their sender has given up.
+RC_GTEST_PROP(ResentOrderProperties, ForwardedOrdersRunOnceAndWhatRanIsNeverReportedAsNotRun, ())
+{
+    ResentOrders load(*rc::gen::arbitrary<uint64_t>(), arbitraryProcessFaults(), true);
+    load.run();
+    expectOneRunAndTrueOutcomes(load.fleet());
+}
+
+// An answer that the sidecar keeps is of no use to a caller whose ingress doesn't reach it.
+TEST(ForwardedOrders, MoreCallersGetTheirAnswersWhilePathsBetweenTwoProcessesAreCut)
+{
+    // Longer than any request may take.
+    std::vector<ProcessFault> cuts { { ProcessFault::Kind::Cut, 1s, loadTime + longestDeadline, 0 }, { ProcessFault::Kind::Cut, 3s, loadTime + longestDeadline, 2 } };
+    size_t direct = 0;
+    size_t forwarded = 0;
+    auto countUnknown = [](const ResentOrders& load) {
+        return static_cast<size_t>(std::ranges::count(load.fleet().requests(), CallerOutcome::Unknown, &CallerRequest::callerOutcome));
+    };
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        ResentOrders without(seed, cuts, false);
+        without.run();
+        direct += countUnknown(without);
+        ResentOrders with(seed, cuts, true);
+        with.run();
+        forwarded += countUnknown(with);
+    }
+    EXPECT_GT(direct, 0u);
+    EXPECT_LT(forwarded, direct);
 }
