LibDecision: Give a tenant above its quota what each window allows

Buckets fill at rate + burst / window now, and the tokens of a window and one validity are counted, so that a full bucket adds nothing. New holders begin a burst below nothing, because the one before may have just granted it.

--- a/Libraries/LibDecision/Quotas/QuotaBuckets.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaBuckets.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+    // The part of what a window allows that isn't granted ahead.
+    constexpr int keptForCallsDivisor = 8;
+
     Duration seconds(double count)
     {
         return std::chrono::ceil<Duration>(std::chrono::duration<double>(std::min(count, 3600.0)));
@@ -14,47 +17,60 @@
 
 }
 
-double QuotaBuckets::capacityOf(const Tenant& tenant) const { return std::max(tenant.burst + m_extraDepth, minimumCapacity); }
+double QuotaBuckets::capacityOf(const Tenant& tenant) const { return std::max(tenant.burst + m_terms.extraDepth, minimumCapacity); }
 
 QuotaBuckets::Bucket& QuotaBuckets::bucketOf(Instant now, const Tenant& tenant)
 {
-    auto [entry, isNew] = m_buckets.try_emplace(tenant.name, Bucket { TokenBucket(capacityOf(tenant)), tenant.requestsPerSecond, now });
+    auto [entry, isNew] = m_buckets.try_emplace(tenant.name, Bucket { TokenBucket(capacityOf(tenant)), m_terms.refillRate(tenant), {}, now });
     auto& bucket = entry->second;
-    if (isNew)
+    if (isNew) {
         bucket.tokens.startAt(m_startedAt);
+        bucket.tokens.take(tenant.burst);
+    }
     // The time until now counts at the rate that was in force.
-    bucket.tokens.refill(bucket.requestsPerSecond, now);
+    bucket.tokens.refill(bucket.refillRate, now);
     bucket.tokens.setLimit(capacityOf(tenant));
-    bucket.requestsPerSecond = tenant.requestsPerSecond;
+    bucket.refillRate = m_terms.refillRate(tenant);
     return bucket;
 }
 
+uint32_t QuotaBuckets::takeTokens(Instant now, const Tenant& tenant, Bucket& bucket, double available, uint32_t wanted)
+{
+    auto left = m_terms.grantLimit(tenant) - bucket.granted.count(now, m_terms.grantSpan());
+    auto tokens = static_cast<uint32_t>(std::min<double>(wanted, std::max(0.0, std::floor(std::min(available, left)))));
+    bucket.tokens.take(tokens);
+    bucket.granted.add(now, m_terms.grantSpan(), tokens);
+    return tokens;
+}
+
 QuotaGrant QuotaBuckets::take(Instant now, const Tenant& tenant, const QuotaNeed& need)
 {
     auto& bucket = bucketOf(now, tenant);
     QuotaGrant grant { .tenant = tenant.name };
-    auto available = [&] { return std::max(0.0, std::floor(bucket.tokens.tokens())); };
-    grant.tokens = static_cast<uint32_t>(std::min<double>(need.tokens, available()));
-    bucket.tokens.take(grant.tokens);
+    grant.tokens = takeTokens(now, tenant, bucket, bucket.tokens.tokens(), need.tokens);
     if (grant.tokens < need.tokens) {
-        spreadReturns(now, bucket, need.tokens - grant.tokens, grant);
+        spreadReturns(now, tenant, bucket, need.tokens - grant.tokens, grant);
         return grant;
     }
     // Tokens ahead that aren't used are lost, so they are granted only while there are plenty.
-    auto plenty = std::max(0.0, std::floor(bucket.tokens.tokens() - capacityOf(tenant) / 2));
-    grant.tokensAhead = static_cast<uint32_t>(std::min<double>(need.tokensAhead, plenty));
-    bucket.tokens.take(grant.tokensAhead);
+    auto limit = m_terms.grantLimit(tenant);
+    auto left = limit - bucket.granted.count(now, m_terms.grantSpan()) - limit / keptForCallsDivisor;
+    auto plenty = std::min(left, bucket.tokens.tokens() - capacityOf(tenant) / 2);
+    grant.tokensAhead = takeTokens(now, tenant, bucket, plenty, need.tokensAhead);
     return grant;
 }
 
-void QuotaBuckets::spreadReturns(Instant now, Bucket& bucket, uint32_t refused, QuotaGrant& grant)
+void QuotaBuckets::spreadReturns(Instant now, const Tenant& tenant, Bucket& bucket, uint32_t refused, QuotaGrant& grant)
 {
-    grant.nextToken = seconds((1 - bucket.tokens.tokens()) / bucket.requestsPerSecond);
+    auto span = m_terms.grantSpan();
+    bool isSpanUsedUp = bucket.granted.count(now, span) + 1 > m_terms.grantLimit(tenant);
+    auto refilled = seconds(std::max(0.0, 1 - bucket.tokens.tokens()) / bucket.refillRate);
+    grant.nextToken = isSpanUsedUp ? std::max<Duration>(refilled, bucket.granted.nextRelease(now, span) - now) : refilled;
     auto earliestReturn = now + grant.nextToken;
     if (bucket.nextReturn < earliestReturn || bucket.nextReturn > now + longestQuotaReturn)
         bucket.nextReturn = earliestReturn;
     grant.retryAfter = bucket.nextReturn - now;
-    bucket.nextReturn += seconds(refused / bucket.requestsPerSecond);
+    bucket.nextReturn += seconds(refused / bucket.refillRate);
 }
 
 double QuotaBuckets::tokens(const AccountId& tenant) const
--- a/Libraries/LibDecision/Quotas/QuotaBuckets.h
+++ b/Libraries/LibDecision/Quotas/QuotaBuckets.h
@@ -2,23 +2,28 @@
 
 #include <LibDecision/Calls/TokenBucket.h>
 #include <LibDecision/Message.h>
+#include <LibDecision/Quotas/GrantHistory.h>
+#include <LibDecision/Quotas/QuotaTerms.h>
 #include <LibModel/Tenant.h>
 
 #include <unordered_map>
 
 namespace Decision {
 
-// The token buckets of one quota partition's tenants, at the partition's holder. They are empty when the holder begins.
+// The token buckets of one quota partition's tenants, at the partition's holder.
+//
+// A tenant may use rate x window + burst in any window. Its bucket fills at the rate that uses this up, and the tokens that
+// were granted within a window and one validity are counted, so that a full bucket doesn't add to that. An earlier holder may
+// have granted a burst just before this one began, so buckets begin with a burst less than nothing.
 class QuotaBuckets {
 public:
     // Capacity of a bucket whose tenant has a lower burst and no extra depth. With less, tokens that become due while a question is under way
     // would be lost. The slack of the bound on quotas (20 requests) covers it.
     static constexpr double minimumCapacity = 5;
 
-    // Each bucket holds the tenant's burst and the extra depth.
-    explicit QuotaBuckets(Instant now, double extraDepth = 0)
+    explicit QuotaBuckets(Instant now, const QuotaTerms& terms = {})
         : m_startedAt(now)
-        , m_extraDepth(extraDepth)
+        , m_terms(terms)
     {
     }
 
@@ -32,17 +37,20 @@
 private:
     struct Bucket {
         TokenBucket tokens;
-        double requestsPerSecond { 0 };
+        double refillRate { 0 };
+        GrantHistory granted;
         // When the next refused request is told to return.
         Instant nextReturn;
     };
 
     double capacityOf(const Tenant&) const;
     Bucket& bucketOf(Instant now, const Tenant&);
-    static void spreadReturns(Instant now, Bucket&, uint32_t refused, QuotaGrant&);
+    // Takes up to the wanted number of tokens, and returns how many.
+    uint32_t takeTokens(Instant now, const Tenant&, Bucket&, double available, uint32_t wanted);
+    void spreadReturns(Instant now, const Tenant&, Bucket&, uint32_t refused, QuotaGrant&);
 
     Instant m_startedAt;
-    double m_extraDepth;
+    QuotaTerms m_terms;
     std::unordered_map<AccountId, Bucket> m_buckets;
 };
 
--- a/Libraries/LibDecision/Quotas/QuotaHolder.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.cpp
@@ -272,7 +272,7 @@
     hold.state = HoldState::Held;
     hold.heldSince = turn.now();
     hold.knownHolder = m_self.instance;
-    hold.buckets.emplace(turn.now(), m_terms.extraDepth);
+    hold.buckets.emplace(turn.now(), m_terms);
     ++m_counters.acquisitions;
     explain(turn, DecisionKind::QuotaAcquired, nameOfPartition(partition) + ": the buckets start empty; the lease is proven for " + milliseconds(m_lease->remaining(turn.now())));
 }
--- a/Libraries/LibDecision/Quotas/QuotaTerms.h
+++ b/Libraries/LibDecision/Quotas/QuotaTerms.h
@@ -24,6 +24,8 @@
 constexpr int aheadValidityDivisor = 5;
 // The clock of a process runs at most this share slower than the others'.
 constexpr int clockRateDivisor = 10;
+// Spans of grants are longer by this part, since the holder's clock may run faster than others.
+constexpr int clockToleranceDivisor = 50;
 // Suspended time up to this length isn't noticed, because it is the difference of two clocks that are read one after
 // the other.
 constexpr Duration suspensionTolerance = 50ms;
@@ -34,6 +36,10 @@
     Duration tokenValidity { longestTokenValidity };
     // Tokens by which each bucket is deeper than the tenant's burst.
     double extraDepth { 0 };
+    // A tenant may have rate x window + burst requests in any span of this length.
+    Duration window { 5s };
+    // Share by which the tokens of a window and one validity more may exceed that.
+    double overshoot { 0.1 };
 
     // The requests of a window take tokens that were granted within the window and one validity more, so the validity is
     // the share of the window by which a quota may be exceeded. Half of the slack deepens the buckets: callers below their
@@ -41,10 +47,17 @@
     // pauses that aren't noticed.
     static QuotaTerms from(const TenantTerms& terms)
     {
-        auto validity = std::chrono::duration_cast<Duration>(terms.quotaWindow * terms.quotaOvershoot);
-        return { std::clamp(validity, shortestTokenValidity, longestTokenValidity), terms.quotaSlack / 2 };
+        auto validity = std::clamp(std::chrono::duration_cast<Duration>(terms.quotaWindow * terms.quotaOvershoot), shortestTokenValidity, longestTokenValidity);
+        auto overshoot = std::min(terms.quotaOvershoot, std::chrono::duration<double>(validity) / terms.quotaWindow);
+        return { validity, terms.quotaSlack / 2, terms.quotaWindow, overshoot };
     }
 
+    // Tokens a second that use up what a window allows.
+    double refillRate(const Tenant& tenant) const { return tenant.requestsPerSecond + tenant.burst / std::chrono::duration<double>(window).count(); }
+    // Tokens that may be granted within grantSpan().
+    double grantLimit(const Tenant& tenant) const { return refillRate(tenant) * std::chrono::duration<double>(window).count() * (1 + overshoot) + extraDepth; }
+    Duration grantSpan() const { return (window + tokenValidity) + (window + tokenValidity) / clockToleranceDivisor; }
+
     // Tokens that were granted ahead count for this time after the question was sent. Together with the longest wait it is
     // the token's validity: a request takes a token that was granted within the longest wait after its arrival or this time
     // before it.
