LibDecision: Let a suspicion that was prolonged once expire

A suspect that was heard since it became suspect had its suspicion prolonged each time that the timeout expired, because the contact was compared with the instant of the state change. After one message from it, a process that was then killed stayed suspect, and so in the live members, for good.

Contact now counts only within the timeout that just expired. The regression test plays that order of events and fails without the change.

--- a/Libraries/LibDecision/Membership/MemberTable.cpp
+++ b/Libraries/LibDecision/Membership/MemberTable.cpp
@@ -49,7 +49,7 @@
         // The death of a member that is unknown, or was removed after its retention, changes nothing.
         if (received.state == MemberState::Dead)
             return {};
-        m_members.emplace(received.instance, Member { received, now });
+        m_members.emplace(received.instance, Member { received });
         index(received);
         setTimers(now, received);
         return { true, std::nullopt };
@@ -61,7 +61,6 @@
     auto before = member.record.state;
     removeFromIndexes(member.record);
     member.record = received;
-    member.changedAt = now;
     index(received);
     setTimers(now, received);
     return { true, before };
@@ -155,8 +154,10 @@
 
 void MemberTable::startSuspicion(Instant now, const InstanceId& instance)
 {
-    if (!m_suspicions.contains(instance))
-        m_suspicions.set(instance, now + suspicionTimeout());
+    if (m_suspicions.contains(instance))
+        return;
+    m_suspicions.set(instance, now + suspicionTimeout());
+    m_members.at(instance).suspicionBeganAt = now;
 }
 
 void MemberTable::extendSuspicions(Instant now)
--- a/Libraries/LibDecision/Membership/MemberTable.h
+++ b/Libraries/LibDecision/Membership/MemberTable.h
@@ -42,7 +42,8 @@
 
 struct Member {
     MemberRecord record;
-    Instant changedAt {};
+    // When the current suspicion timeout began; it begins again when the suspicion is prolonged.
+    Instant suspicionBeganAt {};
     // When the last message from the member itself arrived.
     Instant lastContactAt {};
 };
--- a/Libraries/LibDecision/Membership/Membership.cpp
+++ b/Libraries/LibDecision/Membership/Membership.cpp
@@ -319,7 +319,9 @@
         const auto* member = m_members.find(instance);
         if (!member)
             continue;
-        auto hadContact = member->lastContactAt > member->changedAt;
+        // Only contact within the timeout that just expired prolongs the suspicion. Counting all contact since the member
+        // became suspect kept a killed process suspect forever if one message from it had arrived before.
+        auto hadContact = member->lastContactAt > member->suspicionBeganAt;
         if (hadContact && member->record.state == MemberState::Suspect) {
             m_members.startSuspicion(turn.now(), instance);
             startProbe(turn, instance);
--- a/Tests/LibDecision/Membership/TestMembership.cpp
+++ b/Tests/LibDecision/Membership/TestMembership.cpp
@@ -79,6 +79,27 @@
     EXPECT_TRUE(fixture.agreeWithin(5s));
 }
 
+// Guards against an unlimited suspicion: a message that arrives after the member became suspect must prolong the suspicion
+// once, not each time that the timeout expires.
+TEST(Membership, ASuspectThatIsHeardOnceAndThenNoMoreIsDeclaredDead)
+{
+    constexpr size_t count = 8;
+    JoinedFleet fixture(count);
+    auto sender = fixture.fleet.record(7);
+    fixture.fleet.kill(7);
+    auto isSuspectEverywhere = [&] {
+        size_t suspecting = 0;
+        for (size_t index = 0; index < count - 1; ++index)
+            suspecting += fixture.at(index).find(sender.instance)->state == MemberState::Suspect;
+        return suspecting == count - 1;
+    };
+    ASSERT_TRUE(fixture.fleet.runUntil(detectionBound, 100ms, isSuspectEverywhere));
+    // Messages that were in transit when the process was killed.
+    for (size_t index = 0; index < count - 1; ++index)
+        fixture.fleet.deliver(index, MessageReceived { { sender.instance, sender.incarnation, sender.control, Gossip {} } });
+    EXPECT_TRUE(fixture.agreeWithin(detectionBound));
+}
+
 TEST(Membership, ALeavingProcessIsRemovedFromTheLiveMembersButStaysReachable)
 {
     JoinedFleet fixture(15);
