LibDecision: Let processes that took each other for dead find each other after a cut

Each side had refuted its own death during the cut, so the record as dead that a probe carries was outdated; its receiver ignored it, and added its own record to the answer only within 30 s of a change. A process without live peers didn't join through its seeds either, since joining ends with the first peer.

A process that receives an outdated record of itself, other than alive, now puts its own on its pings and answers for 30 s. A process without peers joins again. Each has a regression test that fails without it.

--- a/Libraries/LibDecision/Membership/Membership.cpp
+++ b/Libraries/LibDecision/Membership/Membership.cpp
@@ -28,7 +28,8 @@
     constexpr Duration gossipSpacing = std::chrono::milliseconds(20);
     constexpr double gossipBytesPerSecond = 16.0 * 1024;
     constexpr double maximumGossipAllowance = 256.0 * 1024;
-    // For this long after its own record changed, a process adds it to its pings and acks.
+    // For this long after its own record changed, or another process sent an outdated one, a process adds it to its pings
+    // and acks.
     constexpr Duration ownRecordAnnouncementPeriod = std::chrono::seconds(30);
 
     constexpr size_t seedsPerJoin = 3;
@@ -418,7 +419,14 @@
 void Membership::handleOwnRecord(Turn& turn, const MemberRecord& received)
 {
     const auto& own = self();
-    if (received.incarnation < own.incarnation || received == own)
+    if (received.incarnation < own.incarnation) {
+        // The sender missed the refutation or the restart. Unless it is told again, it takes this process for dead even
+        // though the two exchange messages.
+        if (received.state != MemberState::Alive)
+            m_announcedAt = turn.now();
+        return;
+    }
+    if (received == own)
         return;
     auto isOlderState = received.incarnation == own.incarnation && received.state == MemberState::Alive && own.state == MemberState::Leaving;
     if (isOlderState)
@@ -604,6 +612,11 @@
     // through seeds lets them find each other again.
     for (const auto& peer : m_members.dead().draw(1, turn.random()))
         startProbe(turn, peer);
+    // A process that lost all its peers joins as at its start. The dead members that it knows may be gone for good.
+    if (m_members.peers().isEmpty() && !m_timers.contains(Timer::Join)) {
+        m_joinBackoff = firstJoinBackoff;
+        return join(turn);
+    }
     if (auto seed = drawUnknownSeed(turn))
         send(turn, {}, *seed, Join { self() });
 }
--- a/Libraries/LibDecision/Membership/Membership.h
+++ b/Libraries/LibDecision/Membership/Membership.h
@@ -120,7 +120,7 @@
     void handleDueProbes(Turn&);
     void handleExpiredSuspicions(Turn&);
     // Rumors to piggyback on a ping or ack. They include the receiver's record if it is suspect or dead, so that the
-    // receiver can refute it, and for a while after a change this process's own record.
+    // receiver can refute it, and for a while after a change, or after an outdated copy arrived, this process's own record.
     std::vector<Rumor> rumorsFor(Turn&, const InstanceId&);
 
     void handleOwnRecord(Turn&, const MemberRecord&);
--- a/Tests/LibDecision/Membership/TestMembership.cpp
+++ b/Tests/LibDecision/Membership/TestMembership.cpp
@@ -167,6 +167,44 @@
         EXPECT_EQ(fixture.fleet.process(index).versionOf(record.id), 1u) << index;
 }
 
+// Guards against a process that stays alone for good: it has stopped joining since it knows a member, and no one knows it.
+TEST(Membership, AProcessWhoseOnlyKnownMemberDiesJoinsThroughSeedsAgain)
+{
+    JoinedFleet fixture(5);
+    fixture.fleet.cut = [](size_t from, size_t to) { return from == 5 || to == 5; };
+    startMember(fixture.fleet, fixture.layout, 5, 1);
+    const auto& onlyKnown = fixture.fleet.record(0);
+    fixture.fleet.deliver(5, MessageReceived { { onlyKnown.instance, onlyKnown.incarnation, onlyKnown.control, Gossip { { onlyKnown } } } });
+    fixture.fleet.kill(0);
+    fixture.fleet.runFor(detectionBound);
+    fixture.fleet.cut = {};
+    EXPECT_TRUE(fixture.agreeWithin(30s));
+}
+
+// Guards against two processes that answer each other's probes and yet take each other for dead, because each knows the other
+// in an incarnation that was refuted during a partition.
+TEST(Membership, ProcessesThatMissedEachOthersRefutationsReconnectWithoutSeeds)
+{
+    JoinedFleet fixture(0);
+    for (size_t index : { 0, 1 })
+        startMember(fixture.fleet, fixture.layout, index, 1, std::vector<Endpoint> {});
+    auto tell = [&](size_t index, MemberRecord record, MemberState state) {
+        const auto& sender = fixture.fleet.record(1 - index);
+        record.state = state;
+        fixture.fleet.deliver(index, MessageReceived { { sender.instance, sender.incarnation, sender.control, Gossip { { record } } } });
+    };
+    tell(0, fixture.fleet.record(1), MemberState::Alive);
+    ASSERT_TRUE(fixture.agreeWithin(5s));
+    fixture.fleet.cut = [](size_t, size_t) { return true; };
+    for (size_t index : { 0, 1 })
+        tell(index, fixture.fleet.record(index), MemberState::Suspect);
+    fixture.fleet.runFor(1min);
+    ASSERT_EQ(fixture.at(0).liveMembers().size(), 1u);
+    ASSERT_EQ(fixture.at(1).liveMembers().size(), 1u);
+    fixture.fleet.cut = {};
+    EXPECT_TRUE(fixture.agreeWithin(30s));
+}
+
 TEST(Membership, MessageSizesStayBoundedWithManyRecords)
 {
     JoinedFleet fixture(5);
