LibTransport: Close connections for room only if another one waits

The server asked for room before it knew whether a further connection waits. A server with exactly as many connections as its limit allows therefore closed one, or a 32nd of them, without need. At the limit it now looks at the listener first.

KeepsAsManyConnectionsAsTheLimitAllows: 2 of 3 connections stayed open before, 3 after.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -434,14 +434,17 @@
     return highest;
 }
 
-bool ConnectionMonitor::hasRoom()
+bool ConnectionMonitor::isFull() const
 {
     auto limit = m_server.options.maximumConnections;
-    auto open = [this] { return m_server.connections.size() + *m_server.lingering; };
-    if (limit == 0 || open() < limit)
-        return true;
-    shedConnections(std::max<size_t>(1, limit / connectionsPerShed));
-    return open() < limit;
+    return limit > 0 && m_server.connections.size() + *m_server.lingering >= limit;
+}
+
+bool ConnectionMonitor::hasRoom()
+{
+    if (isFull())
+        shedConnections(std::max<size_t>(1, m_server.options.maximumConnections / connectionsPerShed));
+    return !isFull();
 }
 
 // Closes idle connections and those with unfinished heads, first those of the addresses that have most, the longest idle
--- a/Libraries/LibTransport/ConnectionMonitor.h
+++ b/Libraries/LibTransport/ConnectionMonitor.h
@@ -66,6 +66,8 @@
     // The exchange is over. The connection may be closed by now.
     void exchangeEnded(uint64_t connectionKey, bool wasAnswered, uint64_t bytes);
 
+    // Whether the limit of connections is reached.
+    bool isFull() const;
     // Whether another connection may be taken, after others have made room for it if need be.
     bool hasRoom();
     // Whether the library refuses the body at hand because it doesn't fit into the memory budget.
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -14,6 +14,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <new>
+#include <poll.h>
 #include <unistd.h>
 #include <utility>
 
@@ -153,9 +154,18 @@
     acceptTimer = loop.callAt(loop.now() + acceptPause, [this] { startAccepting(); });
 }
 
+static bool hasWaitingConnection(h2o_socket_t* listener)
+{
+    pollfd entry { h2o_socket_get_fd(listener), POLLIN, 0 };
+    return poll(&entry, 1, 0) > 0;
+}
+
 void HttpServer::Implementation::acceptConnections()
 {
     for (int count = 0; count < connectionsPerWakeUp; ++count) {
+        // No connection is closed for room that nobody asks for.
+        if (monitor->isFull() && !hasWaitingConnection(listener))
+            return;
         if (!monitor->hasRoom()) {
             pauseAccepting();
             return;
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -189,6 +189,18 @@
     EXPECT_TRUE(runUntilEnd(ConnectionEndReason::ConnectionShed));
 }
 
+// Guards against connections that are closed for room at the limit, though no other connection waits.
+TEST_F(BoundedServer, KeepsAsManyConnectionsAsTheLimitAllows)
+{
+    start({}, 3);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 3; ++i)
+        clients.push_back(std::make_unique<RawClient>(server->endpoint()));
+    runUntil([until = loop.now() + 100ms, this] { return loop.now() > until; });
+    EXPECT_EQ(server->openConnections(), 3u);
+    EXPECT_TRUE(ends.empty());
+}
+
 // Guards against a second request on a connection that escapes the account.
 TEST_F(BoundedServer, CountsEachRequestOfAConnection)
 {
