LibTransport: Determine the phase after an answer once the library has dropped the request

exchangeEnded() runs before the library drops the request's bytes from its buffer, so a connection that became idle counted as an unfinished head until overdue() looked at it up to a second later. The phase is now determined on the loop's next round, after the empty buffer was shrunk, and overdue() only reads it.

ClosesTheConnectionForRoomThatHasBeenIdleLongest: phase 'head' before, 'idle' after.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -126,6 +126,9 @@
                 continue;
             insertReader(*entry->second);
             shrinkEmptyBuffer(entry->second->socket->input);
+            // The library drops a request's bytes from its buffer only after the exchange has ended. Until then, a connection that
+            // has become idle seems to have part of a head.
+            updatePhase(*entry->second);
         }
     });
 }
@@ -359,9 +362,6 @@
 {
     auto& state = connection.state;
     auto now = m_server.loop.now();
-    // The library drops a request's bytes from its buffer only after the exchange has ended, so a connection that has become
-    // idle still seemed to have part of a head then.
-    updatePhase(connection);
     switch (state.phase) {
     case ConnectionPhase::Idle:
         return now - state.phaseSince > m_limits.idleTimeout ? std::optional(ConnectionEndReason::IdleTimeout) : std::nullopt;
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -158,6 +158,28 @@
     EXPECT_EQ(server->openConnections(), 1u);
 }
 
+// Guards against a phase that has already ended: until the next sweep, connections that had become idle counted, and were
+// logged, as unfinished heads.
+TEST_F(BoundedServer, ClosesTheConnectionForRoomThatHasBeenIdleLongest)
+{
+    start({}, 3);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(std::make_unique<RawClient>(server->endpoint()));
+        runUntil([&] { return server->openConnections() == size_t(i) + 1; });
+    }
+    for (int i : { 2, 0, 1 }) {
+        clients[i]->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        EXPECT_NE(clients[i]->readUntil(loop, "done").find("200"), std::string::npos);
+        runUntil([until = loop.now() + 50ms, this] { return loop.now() > until; });
+    }
+    RawClient next(server->endpoint());
+    ASSERT_TRUE(runUntilEnd(ConnectionEndReason::ConnectionShed));
+    EXPECT_EQ(ends.front().phase, ConnectionPhase::Idle);
+    clients[2]->readToEnd(loop, 1s);
+    EXPECT_TRUE(clients[2]->isClosedByServer());
+}
+
 TEST_F(BoundedServer, ClosesAHeadThatIsTooLong)
 {
     ServerLimits limits;
