LibDecision: Decide once for each request whether zones are weighed

Router::weighsCrossing() was asked when away candidates were drawn and again when the zone was chosen. It is asked once now, and the drawn candidates are passed on, so the two can't disagree. Nothing that weighsCrossing() reads changes within one choice, so no test can show a difference. TestRouting: 25 of 25 pass.

--- a/Libraries/LibDecision/Routing/Router.h
+++ b/Libraries/LibDecision/Routing/Router.h
@@ -163,11 +163,12 @@
     RatedCandidate drawCandidate(Turn&, Candidates, const RouteRequest&, const BackendRecord* other);
     RatedCandidate chooseBySampling(Turn&, const CandidateList&, const RouteRequest&);
     RatedCandidate chooseByComparison(Turn&, const CandidateList&, const RouteRequest&);
-    Comparison compare(Turn&, const CandidateList&, const RouteRequest&) const;
+    // Those of the drawn backend servers that may be chosen compete for Comparison::drawnAway.
+    Comparison compare(Turn&, const CandidateList&, const RouteRequest&, Candidates drawn) const;
     // Whether ZoneCrossing decides, rather than the fixed cost of crossing.
     bool weighsCrossing(const CandidateList&, const RouteRequest&) const;
-    // Returns a few backend servers of other zones, drawn at random; none if the fixed cost of crossing decides.
-    std::vector<const BackendRecord*> drawAway(Turn&, const CandidateList&, const RouteRequest&) const;
+    // Returns a few backend servers of other zones, drawn at random; nullopt if the fixed cost of crossing decides.
+    std::optional<std::vector<const BackendRecord*>> drawAway(Turn&, const CandidateList&, const RouteRequest&) const;
     // How much longer a round trip to the nearest of them takes than one within the own zone; nullopt if it isn't known.
     std::optional<Duration> shortestExtraRoundTrip(const std::vector<const BackendRecord*>& others) const;
     RatedCandidate chooseZone(Turn&, const CandidateList&, const Comparison&, const RouteRequest&);
@@ -434,14 +435,13 @@
 }
 
 template <MembershipView Members>
-typename Router<Members>::Comparison Router<Members>::compare(Turn& turn, const CandidateList& candidates, const RouteRequest& request) const
+typename Router<Members>::Comparison Router<Members>::compare(Turn& turn, const CandidateList& candidates, const RouteRequest& request, Candidates drawn) const
 {
     Comparison found;
     auto improve = [](RatedCandidate& best, const RatedCandidate& rated) {
         if (!best.record || rated.cost < best.cost)
             best = rated;
     };
-    auto drawn = drawAway(turn, candidates, request);
     for (auto record : candidates.all()) {
         auto standing = m_health.standing(record->id, turn.now());
         if (usability(*record, standing, request) != Usability::Usable || isQueueTooLong(*record, request, turn.now()))
@@ -464,14 +464,15 @@
 template <MembershipView Members>
 typename Router<Members>::RatedCandidate Router<Members>::chooseByComparison(Turn& turn, const CandidateList& candidates, const RouteRequest& request)
 {
-    auto found = compare(turn, candidates, request);
+    auto drawn = drawAway(turn, candidates, request);
+    auto found = compare(turn, candidates, request, drawn ? Candidates(*drawn) : Candidates());
     if (found.trial.record)
         return found.trial;
     if (!found.home.record && !found.away.record) {
         found.faulty.isLastResort = true;
         return found.faulty;
     }
-    if (weighsCrossing(candidates, request) && found.away.record)
+    if (drawn && found.away.record)
         return chooseZone(turn, candidates, found, request);
     bool isAway = !found.home.record || (found.away.record && found.away.cost < found.home.cost);
     return isAway ? found.away : found.home;
@@ -486,11 +487,12 @@
 }
 
 template <MembershipView Members>
-std::vector<const BackendRecord*> Router<Members>::drawAway(Turn& turn, const CandidateList& candidates, const RouteRequest& request) const
+std::optional<std::vector<const BackendRecord*>> Router<Members>::drawAway(Turn& turn, const CandidateList& candidates, const RouteRequest& request) const
 {
+    if (!weighsCrossing(candidates, request))
+        return std::nullopt;
     std::vector<const BackendRecord*> drawn;
-    if (weighsCrossing(candidates, request))
-        std::ranges::sample(candidates.other(), std::back_inserter(drawn), ZoneCrossing::awayDraws, turn.random());
+    std::ranges::sample(candidates.other(), std::back_inserter(drawn), ZoneCrossing::awayDraws, turn.random());
     return drawn;
 }
 
