LibTransport: Take HTTP/2 only from a connection's first bytes of a request

The library also switches to HTTP/2 on 'Upgrade: h2c', and when the preface follows an HTTP/1 request. ConnectionMonitor didn't see the switch and went on counting the connection as HTTP/1, so that bodies in its streams weren't in the account. Prior knowledge is all that INTERFACES promises; the library's switch is now on only while it reads a connection that begins with the preface.

NeverSwitchesAnHttp1ConnectionToHttp2: both connections were switched before; now the first request is answered and the connection ends.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -68,6 +68,8 @@
 {
     m_server.config.http1.req_timeout = libraryTimeout.count();
     m_server.config.http2.idle_timeout = libraryTimeout.count();
+    // The library would also switch to HTTP/2 on an Upgrade field, or between two requests, without this object's notice.
+    m_server.config.http1.upgrade_to_http2 = 0;
     m_limits.bodyBytes = m_server.options.maximumBodyBytes;
     applyLimits(m_limits);
     if (m_server.options.memory)
@@ -170,7 +172,9 @@
 {
     auto key = connection.key;
     auto sizeBefore = connection.socket->input->size;
+    m_server.config.http1.upgrade_to_http2 = connection.state.isHttp2 ? 1 : 0;
     connection.state.libraryRead(connection.socket, error);
+    m_server.config.http1.upgrade_to_http2 = 0;
     auto entry = m_server.connections.find(key);
     if (entry == m_server.connections.end())
         return;
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -223,6 +223,20 @@
     EXPECT_TRUE(ends.empty());
 }
 
+// Guards against HTTP/2 bodies that escape the account because the connection began as HTTP/1.
+TEST_F(BoundedServer, NeverSwitchesAnHttp1ConnectionToHttp2)
+{
+    start();
+    for (const auto* fields : { "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n", "" }) {
+        RawClient client(server->endpoint());
+        std::string settingsFrame("\0\0\0\4\0\0\0\0\0", 9);
+        client.sendAll(loop, "GET / HTTP/1.1\r\nHost: a\r\n" + std::string(fields) + "\r\nPRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settingsFrame);
+        auto answers = client.readToEnd(loop, 2s);
+        EXPECT_TRUE(answers.starts_with("HTTP/1.1 200")) << answers;
+        EXPECT_TRUE(client.isClosedByServer());
+    }
+}
+
 // Guards against a second request on a connection that escapes the account.
 TEST_F(BoundedServer, CountsEachRequestOfAConnection)
 {
