LibTransport: Count HTTP/2 requests as long as the library holds them

Faults in Http2Frames, which the account of bytes relies on: - Frames on a stream that had been refused or had exceeded its limit opened a new entry that nobody ended, and so did CONTINUATION after a HEADERS frame that ends the stream. The bytes stayed reserved for the life of the connection, which then seemed to send a body and was closed as stalled. - A refusal dropped all streams of the last call. The library refuses only those of whole frames with a part of a body, and went on holding the others. - Heads and padding counted against the limit on bodies, so a body just below it wasn't counted at all. - A request that the library answered by itself stayed counted as waiting. - Streams without bytes could fill the table. They are in the account now.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -44,6 +44,12 @@
     return ioctl(h2o_socket_get_fd(connection.socket), FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
+static uint64_t http2Bytes(const ServerConnection& connection)
+{
+    const auto& frames = connection.state.frames;
+    return growthFactor * (frames.heldBytes() + connection.socket->input->size) + frames.tableBytes();
+}
+
 static std::string_view statusLineOf(ConnectionEndReason reason)
 {
     switch (reason) {
@@ -183,6 +189,9 @@
         open.state.frames.consume(sizeBefore - std::min(sizeBefore, open.socket->input->size));
         if (m_isRefusing)
             open.state.frames.refuseLast();
+        // Below this number the library hands a request over as soon as it is whole, or answers it by itself.
+        if (open.state.waitingExchanges + open.state.writingExchanges < m_server.config.http2.max_concurrent_requests_per_connection)
+            open.state.frames.dropWhole();
         shrinkBuffer(open.socket->input);
         refreshHeld(open);
     }
@@ -243,13 +252,13 @@
 {
     auto& state = connection.state;
     state.frames.read(inputOf(connection), m_server.config.max_request_entity_size);
-    return state.held.resize(growthFactor * (state.frames.heldBytes() + connection.socket->input->size)) ? Verdict::Take : Verdict::Refuse;
+    return state.held.resize(http2Bytes(connection)) ? Verdict::Take : Verdict::Refuse;
 }
 
 void ConnectionMonitor::refreshHeld(ServerConnection& connection)
 {
     auto& state = connection.state;
-    state.held.force(state.isHttp2 ? growthFactor * (state.frames.heldBytes() + connection.socket->input->size) : 0);
+    state.held.force(state.isHttp2 ? http2Bytes(connection) : 0);
 }
 
 void ConnectionMonitor::requestHanded(ServerConnection& connection, uint64_t bodyBytes)
--- a/Tests/LibTransport/TestMemoryBudget.cpp
+++ b/Tests/LibTransport/TestMemoryBudget.cpp
@@ -104,6 +104,43 @@
     EXPECT_EQ(frames.heldBytes(), 0u);
 }
 
+// Guards against bytes that stay counted for the life of a connection: those that a peer sends on a stream before it hears that
+// the stream was refused, and those of a head that goes on in further frames.
+TEST(Http2Frames, KeepsNothingOfRefusedStreamsAndWholeHeads)
+{
+    Http2Frames frames;
+    auto take = [&](const std::string& input) {
+        frames.read(input, 1000);
+        frames.consume(input.size());
+    };
+    take(std::string(http2Preface) + frame(10, 1, 4, 1) + frame(500, 0, 0, 1));
+    frames.refuseLast();
+    take(frame(300, 0, 0, 1) + frame(200, 0, 0, 1));
+    EXPECT_EQ(frames.heldBytes(), 0u);
+    take(frame(100, 1, 1, 3) + frame(50, 9, 4, 3));
+    frames.requestHanded(0);
+    EXPECT_EQ(frames.heldBytes(), 0u);
+    EXPECT_EQ(frames.tableBytes(), 0u);
+}
+
+// Guards against bytes that are released while the library holds them: it refuses a body only by a whole frame, and knows
+// nothing of heads and padding in its limit on bodies.
+TEST(Http2Frames, KeepsStreamsThatTheLibraryHasNotRefused)
+{
+    Http2Frames frames;
+    std::string input = std::string(http2Preface) + frame(10, 1, 4, 1) + frame(900, 0, 0, 1);
+    frames.read(input, 1000);
+    frames.consume(input.size());
+    auto last = frame(100, 0, 0, 1);
+    frames.read(std::string_view(last).substr(0, 50), 1000);
+    frames.refuseLast();
+    EXPECT_EQ(frames.heldBytes(), 1010u);
+    frames.read(last, 1000);
+    EXPECT_EQ(frames.heldBytes(), 1010u);
+    frames.refuseLast();
+    EXPECT_EQ(frames.heldBytes(), 0u);
+}
+
 // Guards against counts that depend on how the bytes were cut on their way.
 RC_GTEST_PROP(Http2FramesProperties, CountAlikeHoweverTheBytesAreCut, (uint8_t step))
 {
