LibTransport: Close stalled bodies and answers for room if no connection is unused

At its limit of connections a server closed idle connections and unfinished heads only. A crowd that announced small bodies and stopped kept all others out: its bodies are too small for the memory budget to close them, and each lasts until the stall timeout of 45 s. If no connection is unused, those in a body or an answer that have moved less than 64 KB/s for a second are closed now, as for memory. A caller whose body wasn't read whole is told 503.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -60,10 +60,10 @@
         return "408 Request Timeout";
     case ConnectionEndReason::MemoryRefused:
     case ConnectionEndReason::MemoryShed:
+    case ConnectionEndReason::ConnectionShed:
         return "503 Service Unavailable";
     case ConnectionEndReason::IdleTimeout:
     case ConnectionEndReason::AnswerStalled:
-    case ConnectionEndReason::ConnectionShed:
         return {};
     }
     return {};
@@ -460,8 +460,17 @@
     return !isFull();
 }
 
+// Whether an unfinished body or answer has stood still or moved slowly for long enough.
+static bool isSlow(const ConnectionState& state, Instant now)
+{
+    bool isMoving = state.phase == ConnectionPhase::Body || state.phase == ConnectionPhase::Writing;
+    auto age = now - state.phaseSince;
+    return isMoving && age >= shortestTrial && static_cast<double>(state.movedBytes) / std::chrono::duration<double>(age).count() <= fastEnoughBytesPerSecond;
+}
+
 // Closes idle connections and those with unfinished heads, first those of the addresses that have most, the longest idle
-// ones among them.
+// ones among them. If there are none, the same goes for slow ones: bodies too small for the memory budget would otherwise
+// keep all others out until they time out.
 void ConnectionMonitor::shedConnections(size_t count)
 {
     struct Candidate {
@@ -470,12 +479,20 @@
         uint64_t key;
     };
     std::vector<Candidate> candidates;
+    std::vector<Candidate> slow;
+    auto now = m_server.loop.now();
     for (const auto& [key, connection] : m_server.connections) {
-        const auto& state = connection->state;
+        auto& state = connection->state;
         bool isUnused = state.phase == ConnectionPhase::Idle || state.phase == ConnectionPhase::Head;
-        if (isUnused && !state.isEnding && !hasUnreadBytes(*connection))
-            candidates.push_back({ m_connectionsByAddress[state.address], state.phaseSince, key });
+        if (state.phase == ConnectionPhase::Writing)
+            noteAcknowledged(*connection);
+        if (state.isEnding || (!isUnused && !isSlow(state, now)) || hasUnreadBytes(*connection))
+            continue;
+        auto& group = isUnused ? candidates : slow;
+        group.push_back({ m_connectionsByAddress[state.address], isUnused ? state.phaseSince : state.lastProgress, key });
     }
+    if (candidates.empty())
+        candidates = std::move(slow);
     auto end = candidates.begin() + static_cast<ptrdiff_t>(std::min(count, candidates.size()));
     std::partial_sort(candidates.begin(), end, candidates.end(), [](const Candidate& left, const Candidate& right) {
         return std::pair(right.connectionsOfAddress, left.since) < std::pair(left.connectionsOfAddress, right.since);
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -211,6 +211,24 @@
     EXPECT_TRUE(runUntilEnd(ConnectionEndReason::ConnectionShed));
 }
 
+// Guards against a crowd with unfinished bodies, too small for the memory budget to matter, that locks out the next caller.
+TEST_F(BoundedServer, MakesRoomForANewConnectionAmongStalledBodies)
+{
+    start({}, 4);
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    for (int i = 0; i < 4; ++i) {
+        crowd.push_back(std::make_unique<RawClient>(server->endpoint()));
+        crowd.back()->send(post(10) + "x");
+    }
+    runUntil([&] { return server->openConnections() == 4; });
+    RawClient client(server->endpoint());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_NE(client.readUntil(loop, "done", 5s).find("200"), std::string::npos);
+    ASSERT_FALSE(ends.empty());
+    EXPECT_EQ(ends.front().reason, ConnectionEndReason::ConnectionShed);
+    EXPECT_EQ(ends.front().phase, ConnectionPhase::Body);
+}
+
 // Guards against connections that are closed for room at the limit, though no other connection waits.
 TEST_F(BoundedServer, KeepsAsManyConnectionsAsTheLimitAllows)
 {
