LibTransport: Count the heads of requests until they are answered

The account released a request's head when the request was handed over, though the library keeps it until the answer, and counted nothing for the copy that is handed over. 4,096 requests at once (limits.concurrent-calls) with heads of 400 KB would hold 3 GB outside the account. Both are counted now; a long body, whose pages are given back, isn't counted twice.

CountsTheHeadsOfRequestsThatWait: 0 of 100,000 bytes before. TestTransport: 113 of 113 pass.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -50,6 +50,18 @@
     return growthFactor * (frames.heldBytes() + connection.socket->input->size) + frames.tableBytes();
 }
 
+// What the library keeps of an HTTP/1 request until it is answered: the head, and a body whose pages aren't worth giving back.
+static uint64_t unansweredBytes(const ServerConnection& connection)
+{
+    const auto& state = connection.state;
+    if (state.waitingExchanges + state.writingExchanges == 0)
+        return 0;
+    uint64_t size = connection.socket->input->size;
+    auto headBytes = state.head ? state.head->bytes : size;
+    auto bodyBytes = size - std::min(size, headBytes);
+    return std::min(size, headBytes) + (bodyBytes > shortBody ? 0 : bodyBytes);
+}
+
 static std::string_view statusLineOf(ConnectionEndReason reason)
 {
     switch (reason) {
@@ -258,7 +270,7 @@
 void ConnectionMonitor::refreshHeld(ServerConnection& connection)
 {
     auto& state = connection.state;
-    state.held.force(state.isHttp2 ? http2Bytes(connection) : 0);
+    state.held.force(state.isHttp2 ? http2Bytes(connection) : unansweredBytes(connection));
 }
 
 void ConnectionMonitor::requestHanded(ServerConnection& connection, uint64_t bodyBytes)
@@ -291,6 +303,7 @@
     if (!state.isHttp2) {
         state.head.reset();
         state.searchedBytes = 0;
+        refreshHeld(*entry->second);
     }
     updatePhase(*entry->second);
     insertReaderLater(connectionKey);
--- a/Libraries/LibTransport/HttpMessage.h
+++ b/Libraries/LibTransport/HttpMessage.h
@@ -51,7 +51,7 @@
     uint16_t peerPort { 0 };
     // "HTTP/1.1" or "HTTP/2".
     std::string protocol;
-    // Accounts for the body; copies share it. Empty if nobody keeps account.
+    // Accounts for the head and body; copies share it. Empty if nobody keeps account.
     std::shared_ptr<Reservation> reservation;
 };
 
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -287,13 +287,15 @@
     result.method = toString(request->method);
     result.authority = toString(request->authority);
     result.target = toString(request->path);
+    auto headBytes = result.method.size() + result.authority.size() + result.target.size();
     result.headers.reserve(request->headers.size);
     for (size_t i = 0; i < request->headers.size; ++i) {
         const auto& header = request->headers.entries[i];
         result.headers.push_back({ toString(*header.name), toString(header.value) });
+        headBytes += sizeof(HttpHeader) + header.name->len + header.value.len;
     }
     result.body = takeBody(request->entity);
-    result.reservation = reserveHeld(memory, MemoryKind::Requests, result.body.size());
+    result.reservation = reserveHeld(memory, MemoryKind::Requests, headBytes + result.body.size());
     auto peer = peerOf(request);
     result.peerAddress = std::move(peer.address);
     result.peerPort = peer.port;
--- a/Libraries/LibTransport/MemoryBudget.h
+++ b/Libraries/LibTransport/MemoryBudget.h
@@ -13,7 +13,7 @@
 
 // What reserved bytes are held for.
 enum class MemoryKind {
-    // Heads and bodies of requests that are being read.
+    // Heads and bodies of requests that are being read, and what the HTTP library keeps of them until they are answered.
     Arriving,
     // Requests that were read whole and aren't answered yet.
     Requests,
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -211,6 +211,30 @@
     EXPECT_TRUE(runUntilEnd(ConnectionEndReason::ConnectionShed));
 }
 
+// Guards against heads that escape the account once their requests wait: the library keeps them until the answer.
+TEST_F(BoundedServer, CountsTheHeadsOfRequestsThatWait)
+{
+    HttpServerOptions options;
+    options.listen = { "127.0.0.1", 0 };
+    options.memory = memory;
+    ServerRequestId waiting = 0;
+    HttpRequest request;
+    options.onRequest = [&](ServerRequestId id, HttpRequest arrived) {
+        waiting = id;
+        request = std::move(arrived);
+    };
+    server = std::make_unique<HttpServer>(loop, std::move(options));
+    RawClient client(server->endpoint());
+    client.sendAll(loop, "GET / HTTP/1.1\r\nHost: a\r\nx: " + std::string(100'000, 'x') + "\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return waiting != 0; }));
+    EXPECT_GE(memory->held(MemoryKind::Arriving), 100'000u);
+    EXPECT_GE(memory->held(MemoryKind::Requests), 100'000u);
+    request = {};
+    server->respond(waiting, { 200, {}, "done" });
+    EXPECT_NE(client.readUntil(loop, "done").find("200"), std::string::npos);
+    EXPECT_TRUE(runUntil([&] { return memory->held() == 0; }));
+}
+
 // Guards against a crowd with unfinished bodies, too small for the memory budget to matter, that locks out the next caller.
 TEST_F(BoundedServer, MakesRoomForANewConnectionAmongStalledBodies)
 {
