--- a/Tests/Bench/Main.cpp
+++ b/Tests/Bench/Main.cpp
@@ -1,5 +1,6 @@
 #include "BaselinePolicies.h"
 #include "Capacity.h"
+#include "Crossing.h"
 #include "Driver.h"
 #include "FulmarPolicy.h"
 
@@ -49,6 +50,7 @@
         std::string fault;
         std::string policy;
         bool measuresCapacity { false };
+        bool measuresCrossing { false };
     };
 
     struct Scenario {
@@ -193,6 +195,7 @@
             "scenario", "Only this scenario", cxxopts::value(options.fault))(
             "policy", "Only this policy", cxxopts::value(options.policy))(
             "capacity", "Only memory and processor time of one process at the two-year size", cxxopts::value(options.measuresCapacity))(
+            "crossing", "Only the decision whether requests leave their availability zone, apart from all others", cxxopts::value(options.measuresCrossing))(
             "help", "Print this help");
         auto parsed = description.parse(argumentCount, arguments);
         if (parsed.count("help")) {
@@ -214,6 +217,10 @@
             Bench::measureCapacity(std::cout);
             return 0;
         }
+        if (options.measuresCrossing) {
+            Bench::measureCrossing(std::cout, options.seed);
+            return 0;
+        }
         Bench::measureAll(options);
     } catch (const std::exception& error) {
         std::cerr << "bench-decisions: " << error.what() << "\n";
