LibDecision: Let crossing grow over more than the age of the views

The share of requests that leaves a zone grew from none to all over half of the service's slack. How far a zone's wait moves within the age of a view doesn't depend on the slack, so with little of it one zone sent so much that the others sent it back. At the extreme, a service slower than its objective sent all for any gain. The growth now takes 1.5 s at least, or seven service times if they are shorter, since LoadTable halves a report's weight with each of them.

--- a/Libraries/LibDecision/Routing/ZoneCrossing.cpp
+++ b/Libraries/LibDecision/Routing/ZoneCrossing.cpp
@@ -18,9 +18,8 @@
     auto tolerated = toleratedGap(terms);
     if (gap <= tolerated)
         return 0;
-    auto growth = partOfSlack(terms, growthShareOfSlack);
-    if (growth <= Duration::zero())
-        return 1;
+    auto shortestGrowth = std::min<Duration>(growthForOldViews, growthServiceTimes * terms.usualServiceTime);
+    auto growth = std::max({ partOfSlack(terms, growthShareOfSlack), shortestGrowth, Duration(1) });
     return std::min(1.0, std::chrono::duration<double>(gap - tolerated) / growth);
 }
 
--- a/Libraries/LibDecision/Routing/ZoneCrossing.h
+++ b/Libraries/LibDecision/Routing/ZoneCrossing.h
@@ -31,9 +31,13 @@
     // Share of the time between the usual service time and the latency objective that a request may wait longer at home.
     // The rest covers what the estimate doesn't know: its age, slow runs and a retry.
     static constexpr double toleratedShareOfSlack = 0.1;
-    // Share of that time over which the share that leaves grows from none to all. With a steeper growth, a zone whose view is a
-    // second old sends so much that the other zone sends it back.
+    // Share of that time over which the share that leaves grows from none to all.
     static constexpr double growthShareOfSlack = 0.5;
+    // The growth takes at least so long, whatever the slack. With a steeper growth, a zone whose view is a second old sends so
+    // much that the other zone sends it back: how far a zone's wait moves within a second doesn't depend on the slack.
+    static constexpr Duration growthForOldViews = std::chrono::milliseconds(1500);
+    // Views of services with short service times don't become as old: LoadTable halves a report's weight with each service time.
+    static constexpr int growthServiceTimes = 7;
     // With fewer own backend servers, a single faulty or slow one takes so much of the zone's room that the other zones
     // are part of the everyday choice.
     static constexpr size_t minimumOwnBackends = 8;
