LibTransport: Judge requests that come together with the one before

The library begins with a pipelined request by itself, and the monitor saw it only when further bytes came. Until then up to 256 KB of each connection weren't in the account, and couldn't be closed for room, for the 75 s of a head. A body that didn't fit then was logged and counted as refused, but read on, since the library's limit no longer applies to it. The monitor now judges what is left in the buffer on the loop's next round, and closes the connection with 503 if it doesn't fit.

CountsAPipelinedBody and ClosesAPipelinedBodyThatDoesNotFit fail before (0 bytes held; no refusal).

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -149,10 +149,26 @@
             // The library drops a request's bytes from its buffer only after the exchange has ended. Until then, a connection that
             // has become idle seems to have part of a head.
             updatePhase(*entry->second);
+            judgeUnseen(*entry->second);
         }
     });
 }
 
+// Judges the beginning of a request that came together with the one before. The library has begun with it, and refuses it no more.
+void ConnectionMonitor::judgeUnseen(ServerConnection& connection)
+{
+    auto& state = connection.state;
+    bool isUnseen = !state.isHttp2 && !state.isEnding && !state.head && state.waitingExchanges + state.writingExchanges == 0 && connection.socket->input->size > 0;
+    if (!isUnseen)
+        return;
+    m_judgedKey = connection.key;
+    auto verdict = judge(connection);
+    m_judgedKey = 0;
+    updatePhase(connection);
+    if (verdict != Verdict::Take)
+        end(connection, isHeadTooLong(connection) ? ConnectionEndReason::HeadTooLong : ConnectionEndReason::MemoryRefused);
+}
+
 void ConnectionMonitor::onReadable(h2o_socket_t* socket, const char* error)
 {
     auto& connection = *static_cast<ServerConnection*>(socket->on_close.data);
--- a/Libraries/LibTransport/ConnectionMonitor.h
+++ b/Libraries/LibTransport/ConnectionMonitor.h
@@ -92,6 +92,7 @@
     void refreshHeld(ServerConnection&);
     void insertReader(ServerConnection&);
     void insertReaderLater(uint64_t connectionKey);
+    void judgeUnseen(ServerConnection&);
     void updatePhase(ServerConnection&);
 
     void end(ServerConnection&, ConnectionEndReason);
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -211,6 +211,31 @@
     EXPECT_TRUE(runUntilEnd(ConnectionEndReason::ConnectionShed));
 }
 
+// Guards against the beginning of a body that escapes the account because it came together with an earlier request.
+TEST_F(BoundedServer, CountsAPipelinedBody)
+{
+    start();
+    RawClient client(server->endpoint());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n" + post(3 * megabyte) + "x");
+    EXPECT_TRUE(runUntil([&] { return memory->held() >= 3 * megabyte; }));
+    client.sendAll(loop, std::string(3 * megabyte - 1, 'x'));
+    EXPECT_TRUE(runUntil([&] { return bodies.size() == 2; }));
+    EXPECT_EQ(bodies.back(), 3 * megabyte);
+    EXPECT_TRUE(runUntil([&] { return memory->held() == 0; }));
+}
+
+// Guards against a body that is logged as refused and read on: the library has begun with it when it is first seen.
+TEST_F(BoundedServer, ClosesAPipelinedBodyThatDoesNotFit)
+{
+    start();
+    RawClient client(server->endpoint());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n" + post(10 * megabyte) + "x");
+    EXPECT_NE(client.readUntil(loop, "done").find("200"), std::string::npos);
+    EXPECT_NE(client.readToEnd(loop, 2s).find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_TRUE(client.isClosedByServer());
+    EXPECT_EQ(ends.size(), 1u);
+}
+
 // Guards against heads that escape the account once their requests wait: the library keeps them until the answer.
 TEST_F(BoundedServer, CountsTheHeadsOfRequestsThatWait)
 {
