LibTransport: Count the second descriptors of connections that will linger

A connection whose answer closes it gets a second descriptor when the answer begins.

CountsTheSecondDescriptorsOfConnectionsThatWillLinger: 4 connections with 8 descriptors at a limit of 4 before, 2 with 4 after.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -479,7 +479,8 @@
 bool ConnectionMonitor::isFull() const
 {
     auto limit = m_server.options.maximumConnections;
-    return limit > 0 && m_server.connections.size() + *m_server.lingering >= limit;
+    // A connection that will linger has a second descriptor already.
+    return limit > 0 && m_server.connections.size() + m_server.pendingLingers + *m_server.lingering >= limit;
 }
 
 bool ConnectionMonitor::hasRoom()
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -278,6 +278,23 @@
     EXPECT_EQ(ends.front().phase, ConnectionPhase::Body);
 }
 
+// Guards against a crowd that takes two descriptors for each connection: one whose answer closes it has a second one.
+TEST_F(BoundedServer, CountsTheSecondDescriptorsOfConnectionsThatWillLinger)
+{
+    HttpServerOptions options;
+    options.listen = { "127.0.0.1", 0 };
+    options.maximumConnections = 4;
+    options.onRequest = [this](ServerRequestId id, const HttpRequest&) { server->respond(id, { 200, {}, std::string(16 * megabyte, 'x') }); };
+    server = std::make_unique<HttpServer>(loop, std::move(options));
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    for (int i = 0; i < 4; ++i) {
+        crowd.push_back(std::make_unique<RawClient>(server->endpoint()));
+        crowd.back()->send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        runUntil([until = loop.now() + 50ms, this] { return loop.now() > until; });
+    }
+    EXPECT_EQ(server->openConnections(), 2u);
+}
+
 // Guards against connections that are closed for room at the limit, though no other connection waits.
 TEST_F(BoundedServer, KeepsAsManyConnectionsAsTheLimitAllows)
 {
