fulmard: Count the connections that further listeners ended

fulmar_memory_refusals_total and its like left out the listeners for announcements and readiness, whose ended connections were logged.

CountTheConnectionsOfAllListeners: 0 refusals before, 1 after. TestFulmard: 27 of 27 pass.

--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -413,8 +413,11 @@
         TotalOfReason { ConnectionEndReason::MemoryShed, Total::MemorySheds },
         TotalOfReason { ConnectionEndReason::ConnectionShed, Total::ConnectionSheds },
     };
-    for (const auto& [reason, total] : totals)
-        metrics.set(total, m_callersServer.ends(reason) + m_controlServer.ends(reason));
+    for (const auto& [reason, total] : totals) {
+        auto count = m_callersServer.ends(reason) + m_controlServer.ends(reason);
+        std::ranges::for_each(m_sideServers, [&count, reason = reason](const auto& server) { count += server->ends(reason); });
+        metrics.set(total, count);
+    }
 }
 
 std::string Daemon::metricsText()
--- a/Tests/fulmard/DaemonTest.h
+++ b/Tests/fulmard/DaemonTest.h
@@ -37,6 +37,8 @@
         options.settings.peers = peers;
         options.settings.callers = { "127.0.0.1", 0 };
         options.settings.control = { "127.0.0.1", 0 };
+        options.settings.announcements = announcements;
+        options.settings.limits.memoryBytes = memoryBytes;
         options.settings.log.level = logLevel;
         options.settings.trace.sampledShare = 1;
         auto record = [this](const std::string& line) { output += line + "\n"; };
@@ -89,6 +91,8 @@
     const Decision::NodeState& state() { return m_daemon->node().state(); }
 
     std::string logLevel { "error" };
+    std::optional<Endpoint> announcements;
+    uint64_t memoryBytes { 0 };
     // What the process logged and traced.
     std::string output;
     Transport::EventLoop m_loop;
