LibTransport: Count unread bytes as progress when memory is short

After a pause of the process, the first request that didn't fit closed the callers whose bytes had come meanwhile and lay unread: their rate was measured over the pause. Connections that time out were spared already.

CountsWhatLiesUnreadAsProgress fails before: the uploader is closed, and the other waits for its answer.

--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -38,12 +38,14 @@
     return { input->bytes, input->size };
 }
 
-static bool hasUnreadBytes(const ServerConnection& connection)
+static uint64_t unreadBytes(const ServerConnection& connection)
 {
     int bytes = 0;
-    return ioctl(h2o_socket_get_fd(connection.socket), FIONREAD, &bytes) == 0 && bytes > 0;
+    return ioctl(h2o_socket_get_fd(connection.socket), FIONREAD, &bytes) == 0 ? static_cast<uint64_t>(std::max(bytes, 0)) : 0;
 }
 
+static bool hasUnreadBytes(const ServerConnection& connection) { return unreadBytes(connection) > 0; }
+
 static uint64_t http2Bytes(const ServerConnection& connection)
 {
     const auto& frames = connection.state.frames;
@@ -454,8 +456,9 @@
         return 0;
     if (state.phase == ConnectionPhase::Writing)
         noteAcknowledged(connection);
-    auto seconds = std::chrono::duration<double>(age).count();
-    auto rate = static_cast<double>(state.movedBytes) / seconds;
+    // After a pause of this process, what came meanwhile lies unread.
+    auto moved = state.movedBytes + (state.phase == ConnectionPhase::Writing ? 0 : unreadBytes(connection));
+    auto rate = static_cast<double>(moved) / std::chrono::duration<double>(age).count();
     return rate > fastEnoughBytesPerSecond ? 0 : static_cast<double>(bytes) / (1 + rate);
 }
 
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <memory>
+#include <thread>
 #include <vector>
 
 using namespace Transport;
@@ -126,6 +127,23 @@
     EXPECT_TRUE(runUntilEnd(ConnectionEndReason::MemoryShed));
 }
 
+// Guards against closing a caller for a pause of this process, during which it sent.
+TEST_F(BoundedServer, CountsWhatLiesUnreadAsProgress)
+{
+    start();
+    RawClient uploader(server->endpoint());
+    RawClient other(server->endpoint());
+    uploader.send(post(6 * megabyte) + std::string(10'000, 'x'));
+    EXPECT_TRUE(runUntil([&] { return server->openConnections() == 2 && memory->held() >= 6 * megabyte; }));
+    std::this_thread::sleep_for(1200ms);
+    uploader.send(std::string(200'000, 'x'));
+    // The library reads first what became readable last.
+    other.send(post(3 * megabyte));
+    EXPECT_NE(other.readUntil(loop, "no memory").find("HTTP/1.1 503"), std::string::npos);
+    uploader.sendAll(loop, std::string(6 * megabyte - 210'000, 'x'));
+    EXPECT_NE(uploader.readUntil(loop, "done").find("200"), std::string::npos);
+}
+
 // Guards against connections that stay open without end.
 TEST_F(BoundedServer, ClosesUnfinishedHeadsStalledBodiesAndIdleConnections)
 {
