--- a/Tests/Bench/Crossing.cpp
+++ b/Tests/Bench/Crossing.cpp
@@ -53,6 +53,7 @@
     constexpr double measuredSeconds = 600;
     constexpr double viewAge = 1;
     constexpr double viewInterval = 0.05;
+    constexpr size_t keptViews = viewAge / viewInterval;
     constexpr double bytesPerExchange = 20'000;
     constexpr double fixedCost = 0.05;
     constexpr double extraRoundTrip = 0.007;
@@ -138,7 +139,7 @@
                 for (size_t zone = 0; zone < zoneCount; ++zone)
                     costs[zone] = cost(zone);
                 m_views.push_back(costs);
-                if (m_views.size() > std::lround(viewAge / viewInterval))
+                if (m_views.size() > keptViews)
                     m_views.pop_front();
             }
         }
