--- a/Libraries/LibTransport/ConnectionMonitor.cpp
+++ b/Libraries/LibTransport/ConnectionMonitor.cpp
@@ -38,10 +38,30 @@
     return { input->bytes, input->size };
 }
 
-static bool hasUnreadBytes(const ServerConnection& connection)
+static uint64_t unreadBytes(const ServerConnection& connection)
 {
     int bytes = 0;
-    return ioctl(h2o_socket_get_fd(connection.socket), FIONREAD, &bytes) == 0 && bytes > 0;
+    return ioctl(h2o_socket_get_fd(connection.socket), FIONREAD, &bytes) == 0 ? static_cast<uint64_t>(std::max(bytes, 0)) : 0;
+}
+
+static bool hasUnreadBytes(const ServerConnection& connection) { return unreadBytes(connection) > 0; }
+
+static uint64_t http2Bytes(const ServerConnection& connection)
+{
+    const auto& frames = connection.state.frames;
+    return growthFactor * (frames.heldBytes() + connection.socket->input->size) + frames.tableBytes();
+}
+
+// What the library keeps of an HTTP/1 request until it is answered: the head, and a body whose pages aren't worth giving back.
+static uint64_t unansweredBytes(const ServerConnection& connection)
+{
+    const auto& state = connection.state;
+    if (state.waitingExchanges + state.writingExchanges == 0)
+        return 0;
+    uint64_t size = connection.socket->input->size;
+    auto headBytes = state.head ? state.head->bytes : size;
+    auto bodyBytes = size - std::min(size, headBytes);
+    return std::min(size, headBytes) + (bodyBytes > shortBody ? 0 : bodyBytes);
 }
 
 static std::string_view statusLineOf(ConnectionEndReason reason)
@@ -54,10 +74,10 @@
         return "408 Request Timeout";
     case ConnectionEndReason::MemoryRefused:
     case ConnectionEndReason::MemoryShed:
+    case ConnectionEndReason::ConnectionShed:
         return "503 Service Unavailable";
     case ConnectionEndReason::IdleTimeout:
     case ConnectionEndReason::AnswerStalled:
-    case ConnectionEndReason::ConnectionShed:
         return {};
     }
     return {};
@@ -68,6 +88,8 @@
 {
     m_server.config.http1.req_timeout = libraryTimeout.count();
     m_server.config.http2.idle_timeout = libraryTimeout.count();
+    // The library would also switch to HTTP/2 on an Upgrade field, or between two requests, without this object's notice.
+    m_server.config.http1.upgrade_to_http2 = 0;
     m_limits.bodyBytes = m_server.options.maximumBodyBytes;
     applyLimits(m_limits);
     if (m_server.options.memory)
@@ -126,10 +148,29 @@
                 continue;
             insertReader(*entry->second);
             shrinkEmptyBuffer(entry->second->socket->input);
+            // The library drops a request's bytes from its buffer only after the exchange has ended. Until then, a connection that
+            // has become idle seems to have part of a head.
+            updatePhase(*entry->second);
+            judgeUnseen(*entry->second);
         }
     });
 }
 
+// Judges the beginning of a request that came together with the one before. The library has begun with it, and refuses it no more.
+void ConnectionMonitor::judgeUnseen(ServerConnection& connection)
+{
+    auto& state = connection.state;
+    bool isUnseen = !state.isHttp2 && !state.isEnding && !state.head && state.waitingExchanges + state.writingExchanges == 0 && connection.socket->input->size > 0;
+    if (!isUnseen)
+        return;
+    m_judgedKey = connection.key;
+    auto verdict = judge(connection);
+    m_judgedKey = 0;
+    updatePhase(connection);
+    if (verdict != Verdict::Take)
+        end(connection, isHeadTooLong(connection) ? ConnectionEndReason::HeadTooLong : ConnectionEndReason::MemoryRefused);
+}
+
 void ConnectionMonitor::onReadable(h2o_socket_t* socket, const char* error)
 {
     auto& connection = *static_cast<ServerConnection*>(socket->on_close.data);
@@ -167,7 +208,9 @@
 {
     auto key = connection.key;
     auto sizeBefore = connection.socket->input->size;
+    m_server.config.http1.upgrade_to_http2 = connection.state.isHttp2 ? 1 : 0;
     connection.state.libraryRead(connection.socket, error);
+    m_server.config.http1.upgrade_to_http2 = 0;
     auto entry = m_server.connections.find(key);
     if (entry == m_server.connections.end())
         return;
@@ -176,6 +219,9 @@
         open.state.frames.consume(sizeBefore - std::min(sizeBefore, open.socket->input->size));
         if (m_isRefusing)
             open.state.frames.refuseLast();
+        // Below this number the library hands a request over as soon as it is whole, or answers it by itself.
+        if (open.state.waitingExchanges + open.state.writingExchanges < m_server.config.http2.max_concurrent_requests_per_connection)
+            open.state.frames.dropWhole();
         shrinkBuffer(open.socket->input);
         refreshHeld(open);
     }
@@ -236,13 +282,13 @@
 {
     auto& state = connection.state;
     state.frames.read(inputOf(connection), m_server.config.max_request_entity_size);
-    return state.held.resize(growthFactor * (state.frames.heldBytes() + connection.socket->input->size)) ? Verdict::Take : Verdict::Refuse;
+    return state.held.resize(http2Bytes(connection)) ? Verdict::Take : Verdict::Refuse;
 }
 
 void ConnectionMonitor::refreshHeld(ServerConnection& connection)
 {
     auto& state = connection.state;
-    state.held.force(state.isHttp2 ? growthFactor * (state.frames.heldBytes() + connection.socket->input->size) : 0);
+    state.held.force(state.isHttp2 ? http2Bytes(connection) : unansweredBytes(connection));
 }
 
 void ConnectionMonitor::requestHanded(ServerConnection& connection, uint64_t bodyBytes)
@@ -275,6 +321,7 @@
     if (!state.isHttp2) {
         state.head.reset();
         state.searchedBytes = 0;
+        refreshHeld(*entry->second);
     }
     updatePhase(*entry->second);
     insertReaderLater(connectionKey);
@@ -359,9 +406,6 @@
 {
     auto& state = connection.state;
     auto now = m_server.loop.now();
-    // The library drops a request's bytes from its buffer only after the exchange has ended, so a connection that has become
-    // idle still seemed to have part of a head then.
-    updatePhase(connection);
     switch (state.phase) {
     case ConnectionPhase::Idle:
         return now - state.phaseSince > m_limits.idleTimeout ? std::optional(ConnectionEndReason::IdleTimeout) : std::nullopt;
@@ -412,8 +456,9 @@
         return 0;
     if (state.phase == ConnectionPhase::Writing)
         noteAcknowledged(connection);
-    auto seconds = std::chrono::duration<double>(age).count();
-    auto rate = static_cast<double>(state.movedBytes) / seconds;
+    // After a pause of this process, what came meanwhile lies unread.
+    auto moved = state.movedBytes + (state.phase == ConnectionPhase::Writing ? 0 : unreadBytes(connection));
+    auto rate = static_cast<double>(moved) / std::chrono::duration<double>(age).count();
     return rate > fastEnoughBytesPerSecond ? 0 : static_cast<double>(bytes) / (1 + rate);
 }
 
@@ -434,18 +479,31 @@
     return highest;
 }
 
-bool ConnectionMonitor::hasRoom()
+bool ConnectionMonitor::isFull() const
 {
     auto limit = m_server.options.maximumConnections;
-    auto open = [this] { return m_server.connections.size() + *m_server.lingering; };
-    if (limit == 0 || open() < limit)
-        return true;
-    shedConnections(std::max<size_t>(1, limit / connectionsPerShed));
-    return open() < limit;
+    // A connection that will linger has a second descriptor already.
+    return limit > 0 && m_server.connections.size() + m_server.pendingLingers + *m_server.lingering >= limit;
+}
+
+bool ConnectionMonitor::hasRoom()
+{
+    if (isFull())
+        shedConnections(std::max<size_t>(1, m_server.options.maximumConnections / connectionsPerShed));
+    return !isFull();
+}
+
+// Whether an unfinished body or answer has stood still or moved slowly for long enough.
+static bool isSlow(const ConnectionState& state, Instant now)
+{
+    bool isMoving = state.phase == ConnectionPhase::Body || state.phase == ConnectionPhase::Writing;
+    auto age = now - state.phaseSince;
+    return isMoving && age >= shortestTrial && static_cast<double>(state.movedBytes) / std::chrono::duration<double>(age).count() <= fastEnoughBytesPerSecond;
 }
 
 // Closes idle connections and those with unfinished heads, first those of the addresses that have most, the longest idle
-// ones among them.
+// ones among them. If there are none, the same goes for slow ones: bodies too small for the memory budget would otherwise
+// keep all others out until they time out.
 void ConnectionMonitor::shedConnections(size_t count)
 {
     struct Candidate {
@@ -454,12 +512,20 @@
         uint64_t key;
     };
     std::vector<Candidate> candidates;
+    std::vector<Candidate> slow;
+    auto now = m_server.loop.now();
     for (const auto& [key, connection] : m_server.connections) {
-        const auto& state = connection->state;
+        auto& state = connection->state;
         bool isUnused = state.phase == ConnectionPhase::Idle || state.phase == ConnectionPhase::Head;
-        if (isUnused && !state.isEnding && !hasUnreadBytes(*connection))
-            candidates.push_back({ m_connectionsByAddress[state.address], state.phaseSince, key });
+        if (state.phase == ConnectionPhase::Writing)
+            noteAcknowledged(*connection);
+        if (state.isEnding || (!isUnused && !isSlow(state, now)) || hasUnreadBytes(*connection))
+            continue;
+        auto& group = isUnused ? candidates : slow;
+        group.push_back({ m_connectionsByAddress[state.address], isUnused ? state.phaseSince : state.lastProgress, key });
     }
+    if (candidates.empty())
+        candidates = std::move(slow);
     auto end = candidates.begin() + static_cast<ptrdiff_t>(std::min(count, candidates.size()));
     std::partial_sort(candidates.begin(), end, candidates.end(), [](const Candidate& left, const Candidate& right) {
         return std::pair(right.connectionsOfAddress, left.since) < std::pair(left.connectionsOfAddress, right.since);
--- a/Tests/LibTransport/TestServerLimits.cpp
+++ b/Tests/LibTransport/TestServerLimits.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <memory>
+#include <thread>
 #include <vector>
 
 using namespace Transport;
@@ -126,6 +127,23 @@
     EXPECT_TRUE(runUntilEnd(ConnectionEndReason::MemoryShed));
 }
 
+// Guards against closing a caller for a pause of this process, during which it sent.
+TEST_F(BoundedServer, CountsWhatLiesUnreadAsProgress)
+{
+    start();
+    RawClient uploader(server->endpoint());
+    RawClient other(server->endpoint());
+    uploader.send(post(6 * megabyte) + std::string(10'000, 'x'));
+    EXPECT_TRUE(runUntil([&] { return server->openConnections() == 2 && memory->held() >= 6 * megabyte; }));
+    std::this_thread::sleep_for(1200ms);
+    uploader.send(std::string(200'000, 'x'));
+    // The library reads first what became readable last.
+    other.send(post(3 * megabyte));
+    EXPECT_NE(other.readUntil(loop, "no memory").find("HTTP/1.1 503"), std::string::npos);
+    uploader.sendAll(loop, std::string(6 * megabyte - 210'000, 'x'));
+    EXPECT_NE(uploader.readUntil(loop, "done").find("200"), std::string::npos);
+}
+
 // Guards against connections that stay open without end.
 TEST_F(BoundedServer, ClosesUnfinishedHeadsStalledBodiesAndIdleConnections)
 {
@@ -158,6 +176,28 @@
     EXPECT_EQ(server->openConnections(), 1u);
 }
 
+// Guards against a phase that has already ended: until the next sweep, connections that had become idle counted, and were
+// logged, as unfinished heads.
+TEST_F(BoundedServer, ClosesTheConnectionForRoomThatHasBeenIdleLongest)
+{
+    start({}, 3);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(std::make_unique<RawClient>(server->endpoint()));
+        runUntil([&] { return server->openConnections() == size_t(i) + 1; });
+    }
+    for (int i : { 2, 0, 1 }) {
+        clients[i]->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        EXPECT_NE(clients[i]->readUntil(loop, "done").find("200"), std::string::npos);
+        runUntil([until = loop.now() + 50ms, this] { return loop.now() > until; });
+    }
+    RawClient next(server->endpoint());
+    ASSERT_TRUE(runUntilEnd(ConnectionEndReason::ConnectionShed));
+    EXPECT_EQ(ends.front().phase, ConnectionPhase::Idle);
+    clients[2]->readToEnd(loop, 1s);
+    EXPECT_TRUE(clients[2]->isClosedByServer());
+}
+
 TEST_F(BoundedServer, ClosesAHeadThatIsTooLong)
 {
     ServerLimits limits;
@@ -189,6 +229,116 @@
     EXPECT_TRUE(runUntilEnd(ConnectionEndReason::ConnectionShed));
 }
 
+// Guards against the beginning of a body that escapes the account because it came together with an earlier request.
+TEST_F(BoundedServer, CountsAPipelinedBody)
+{
+    start();
+    RawClient client(server->endpoint());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n" + post(3 * megabyte) + "x");
+    EXPECT_TRUE(runUntil([&] { return memory->held() >= 3 * megabyte; }));
+    client.sendAll(loop, std::string(3 * megabyte - 1, 'x'));
+    EXPECT_TRUE(runUntil([&] { return bodies.size() == 2; }));
+    EXPECT_EQ(bodies.back(), 3 * megabyte);
+    EXPECT_TRUE(runUntil([&] { return memory->held() == 0; }));
+}
+
+// Guards against a body that is logged as refused and read on: the library has begun with it when it is first seen.
+TEST_F(BoundedServer, ClosesAPipelinedBodyThatDoesNotFit)
+{
+    start();
+    RawClient client(server->endpoint());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n" + post(10 * megabyte) + "x");
+    EXPECT_NE(client.readUntil(loop, "done").find("200"), std::string::npos);
+    EXPECT_NE(client.readToEnd(loop, 2s).find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_TRUE(client.isClosedByServer());
+    EXPECT_EQ(ends.size(), 1u);
+}
+
+// Guards against heads that escape the account once their requests wait: the library keeps them until the answer.
+TEST_F(BoundedServer, CountsTheHeadsOfRequestsThatWait)
+{
+    HttpServerOptions options;
+    options.listen = { "127.0.0.1", 0 };
+    options.memory = memory;
+    ServerRequestId waiting = 0;
+    HttpRequest request;
+    options.onRequest = [&](ServerRequestId id, HttpRequest arrived) {
+        waiting = id;
+        request = std::move(arrived);
+    };
+    server = std::make_unique<HttpServer>(loop, std::move(options));
+    RawClient client(server->endpoint());
+    client.sendAll(loop, "GET / HTTP/1.1\r\nHost: a\r\nx: " + std::string(100'000, 'x') + "\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return waiting != 0; }));
+    EXPECT_GE(memory->held(MemoryKind::Arriving), 100'000u);
+    EXPECT_GE(memory->held(MemoryKind::Requests), 100'000u);
+    request = {};
+    server->respond(waiting, { 200, {}, "done" });
+    EXPECT_NE(client.readUntil(loop, "done").find("200"), std::string::npos);
+    EXPECT_TRUE(runUntil([&] { return memory->held() == 0; }));
+}
+
+// Guards against a crowd with unfinished bodies, too small for the memory budget to matter, that locks out the next caller.
+TEST_F(BoundedServer, MakesRoomForANewConnectionAmongStalledBodies)
+{
+    start({}, 4);
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    for (int i = 0; i < 4; ++i) {
+        crowd.push_back(std::make_unique<RawClient>(server->endpoint()));
+        crowd.back()->send(post(10) + "x");
+    }
+    runUntil([&] { return server->openConnections() == 4; });
+    RawClient client(server->endpoint());
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_NE(client.readUntil(loop, "done", 5s).find("200"), std::string::npos);
+    ASSERT_FALSE(ends.empty());
+    EXPECT_EQ(ends.front().reason, ConnectionEndReason::ConnectionShed);
+    EXPECT_EQ(ends.front().phase, ConnectionPhase::Body);
+}
+
+// Guards against a crowd that takes two descriptors for each connection: one whose answer closes it has a second one.
+TEST_F(BoundedServer, CountsTheSecondDescriptorsOfConnectionsThatWillLinger)
+{
+    HttpServerOptions options;
+    options.listen = { "127.0.0.1", 0 };
+    options.maximumConnections = 4;
+    options.onRequest = [this](ServerRequestId id, const HttpRequest&) { server->respond(id, { 200, {}, std::string(16 * megabyte, 'x') }); };
+    server = std::make_unique<HttpServer>(loop, std::move(options));
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    for (int i = 0; i < 4; ++i) {
+        crowd.push_back(std::make_unique<RawClient>(server->endpoint()));
+        crowd.back()->send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        runUntil([until = loop.now() + 50ms, this] { return loop.now() > until; });
+    }
+    EXPECT_EQ(server->openConnections(), 2u);
+}
+
+// Guards against connections that are closed for room at the limit, though no other connection waits.
+TEST_F(BoundedServer, KeepsAsManyConnectionsAsTheLimitAllows)
+{
+    start({}, 3);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 3; ++i)
+        clients.push_back(std::make_unique<RawClient>(server->endpoint()));
+    runUntil([until = loop.now() + 100ms, this] { return loop.now() > until; });
+    EXPECT_EQ(server->openConnections(), 3u);
+    EXPECT_TRUE(ends.empty());
+}
+
+// Guards against HTTP/2 bodies that escape the account because the connection began as HTTP/1.
+TEST_F(BoundedServer, NeverSwitchesAnHttp1ConnectionToHttp2)
+{
+    start();
+    for (const auto* fields : { "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n", "" }) {
+        RawClient client(server->endpoint());
+        std::string settingsFrame("\0\0\0\4\0\0\0\0\0", 9);
+        client.sendAll(loop, "GET / HTTP/1.1\r\nHost: a\r\n" + std::string(fields) + "\r\nPRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settingsFrame);
+        auto answers = client.readToEnd(loop, 2s);
+        EXPECT_TRUE(answers.starts_with("HTTP/1.1 200")) << answers;
+        EXPECT_TRUE(client.isClosedByServer());
+    }
+}
+
 // Guards against a second request on a connection that escapes the account.
 TEST_F(BoundedServer, CountsEachRequestOfAConnection)
 {
