LibModel: Report every problem of a route table

checkRouteTable() stops at the first problem, and problemsOf() gives texts only. A check before publishing has to list all of them with their entries.

findProblems() gives every problem for which checkRouteTable() refuses a table, and unusableEntries() what problemsOf() formats; both older functions are now built on them.

--- a/Libraries/LibModel/Error.h
+++ b/Libraries/LibModel/Error.h
@@ -13,10 +13,13 @@
 
     const std::string& step() const { return m_step; }
     const std::string& peer() const { return m_peer; }
+    // what() without the step and the peer.
+    const std::string& problem() const { return m_problem; }
 
 private:
     std::string m_step;
     std::string m_peer;
+    std::string m_problem;
 };
 
 // A settings, profile or chart file that can't be accepted. what() reads "FILE:LINE: KEY: problem; allowed: ...".
@@ -28,10 +31,13 @@
     // Counts from 1; 0 if the whole file is meant.
     int line() const { return m_line; }
     const std::string& key() const { return m_key; }
+    // "problem; allowed: ...", without the place.
+    const std::string& detail() const { return m_detail; }
 
 private:
     int m_line;
     std::string m_key;
+    std::string m_detail;
 };
 
 }
--- a/Libraries/LibModel/RouteTable.cpp
+++ b/Libraries/LibModel/RouteTable.cpp
@@ -150,11 +150,12 @@
 
 }
 
-void checkRouteTable(const RouteTable& table, const std::string& source)
+std::vector<EntryProblem> findProblems(const RouteTable& table)
 {
+    std::vector<EntryProblem> problems;
     auto require = [&](const std::string& what, const std::string& problem) {
         if (!problem.empty())
-            throw Error("check-routes", source, what + " " + problem);
+            problems.push_back({ what, problem });
     };
     TableChecker checker;
     for (const auto& service : table.services)
@@ -170,6 +171,14 @@
     require("version", table.version.value() > 0 ? "" : "is not above zero");
     require("limits", table.limits.headerBytes > 0 && table.limits.bodyBytes > 0 ? "" : "allow nothing");
     require("limits", table.limits.headerTimeout > 0ms && table.limits.idleTimeout > 0ms ? "" : "give no time");
+    return problems;
+}
+
+void checkRouteTable(const RouteTable& table, const std::string& source)
+{
+    auto problems = findProblems(table);
+    if (!problems.empty())
+        throw Error("check-routes", source, problems.front().entry + " " + problems.front().problem);
 }
 
 void addOmission(RouteTable& table, std::string omission)
@@ -207,18 +216,28 @@
     isolateSharedKeys(table);
 }
 
-std::vector<std::string> problemsOf(const RouteTable& table)
+std::vector<EntryProblem> unusableEntries(const RouteTable& table)
 {
-    auto problems = table.omissions;
+    std::vector<EntryProblem> problems;
+    for (const auto& omission : table.omissions)
+        problems.push_back({ "", omission });
     auto add = [&](const auto& entry) {
         if (!entry.isUsable())
-            problems.push_back(describe(entry) + " " + entry.problem);
+            problems.push_back({ describe(entry), entry.problem });
     };
     std::ranges::for_each(table.routes, add);
     std::ranges::for_each(table.tenants, add);
     return problems;
 }
 
+std::vector<std::string> problemsOf(const RouteTable& table)
+{
+    std::vector<std::string> problems;
+    for (const auto& [entry, problem] : unusableEntries(table))
+        problems.push_back(entry.empty() ? problem : entry + " " + problem);
+    return problems;
+}
+
 RouteIndex::RouteIndex(const RouteTable& table)
 {
     for (const auto& route : table.routes)
--- a/Libraries/LibModel/RouteTable.h
+++ b/Libraries/LibModel/RouteTable.h
@@ -89,6 +89,18 @@
     bool operator==(const RouteTable&) const = default;
 };
 
+// What is wrong with one entry of a table.
+struct EntryProblem {
+    // Names the entry, as in "route r1"; may be empty.
+    std::string entry;
+    std::string problem;
+
+    bool operator==(const EntryProblem&) const = default;
+};
+
+// Every problem for which checkRouteTable() refuses a table; none if it accepts the table.
+std::vector<EntryProblem> findProblems(const RouteTable&);
+
 // Checks what the types don't: names, paths, weights and figures in range, targets that are listed as services,
 // no two routes for one host and path, and no API key of two tenants. Throws Error whose step is "check-routes" and whose peer is
 // the source.
@@ -102,6 +114,10 @@
 // Lists an entry that was left out. Only a bounded number of them is kept.
 void addOmission(RouteTable&, std::string omission);
 
+// Entries that were left out or that are marked as unusable, with the reasons. Those left out have no entry, since their
+// texts name it.
+std::vector<EntryProblem> unusableEntries(const RouteTable&);
+
 // Descriptions of everything in the table that can't be used.
 std::vector<std::string> problemsOf(const RouteTable&);
 
