--- a/Libraries/LibTransport/MemoryBudget.cpp
+++ b/Libraries/LibTransport/MemoryBudget.cpp
@@ -24,14 +24,14 @@
 
 bool MemoryBudget::fits(uint64_t bytes, uint64_t newBytes) const
 {
-    auto limit = newBytes <= smallReservation ? m_total : m_total - m_total / smallPart;
+    auto limit = newBytes <= smallReservation ? m_total : largestReservation(m_total);
     return m_held + (newBytes - bytes) <= limit;
 }
 
 bool MemoryBudget::makeRoom(uint64_t bytes, uint64_t newBytes)
 {
     // What can't fit into an empty budget is no reason to close anybody, and closing one holder closes no other in turn.
-    if (m_isShedding || newBytes > m_total - m_total / smallPart)
+    if (m_isShedding || newBytes > largestReservation(m_total))
         return fits(bytes, newBytes);
     m_isShedding = true;
     while (!fits(bytes, newBytes) && shedOne()) { }
@@ -113,6 +113,8 @@
     return reservation->resize(bytes) ? reservation : nullptr;
 }
 
+uint64_t largestReservation(uint64_t totalBytes) { return totalBytes - totalBytes / smallPart; }
+
 uint64_t budgetOfMachine(uint64_t memoryBytes)
 {
     return memoryBytes - std::min(memoryBytes / 2, largestProcessShare);
--- a/Libraries/LibTransport/MemoryBudget.h
+++ b/Libraries/LibTransport/MemoryBudget.h
@@ -107,6 +107,9 @@
 // Reserves bytes for a copy; gives nothing if there is no room.
 std::shared_ptr<Reservation> tryReserve(const std::shared_ptr<MemoryBudget>&, MemoryKind, uint64_t bytes);
 
+// The largest reservation that fits into an empty budget of this size.
+uint64_t largestReservation(uint64_t totalBytes);
+
 // The budget of a machine with this much memory. Half of the memory, 192 MB at most, is left to the process: 15 MB at its
 // start, the 128 MB that control may cost it, and the allocator.
 uint64_t budgetOfMachine(uint64_t memoryBytes);
