fulmard: Give operators the route table in force

Operators could read the profiles in force from a process, but not the routes, so that a new table couldn't be compared with them.

GET /v1/routes at the control endpoint answers with the table, or null, and the size of the process's memory budget. Like the other calls it needs the operators' key. Tables hold digests of API keys, never the keys.

TestFulmard passes, with a call for a table with tenants, one without a table, and one with a wrong key.

--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -93,7 +93,7 @@
     , m_sidecarCalls(m_client, m_observability, m_options.settings.instance, m_options.settings.limits, m_options.settings.edge, m_memory, [this](Decision::Input input) { m_driver.handle(std::move(input)); })
     , m_ingressCalls(ingressParties())
     , m_driver(loop, nodeOptions(), [this](const Decision::Effect& effect) { carryOut(effect); })
-    , m_operatorApi(m_options.settings.operatorKey, m_driver, m_observability.journal(), [this] { return m_loop.now(); })
+    , m_operatorApi(m_options.settings.operatorKey, m_memory->total(), m_driver, m_observability.journal(), [this] { return m_loop.now(); })
 {
     m_state = &node().state();
     openSideServers();
--- a/Services/fulmard/OperatorApi.cpp
+++ b/Services/fulmard/OperatorApi.cpp
@@ -2,6 +2,7 @@
 
 #include <LibControl/ControlError.h>
 #include <LibControl/JsonText.h>
+#include <LibControl/RouteTableCodec.h>
 #include <LibDecision/NodeState.h>
 #include <Services/fulmard/QueryString.h>
 
@@ -33,8 +34,9 @@
 
 }
 
-OperatorApi::OperatorApi(const std::string& operatorKey, NodeDriver& driver, const Telemetry::Journal& journal, std::function<Instant()> now)
+OperatorApi::OperatorApi(const std::string& operatorKey, uint64_t memoryBytes, NodeDriver& driver, const Telemetry::Journal& journal, std::function<Instant()> now)
     : m_gate(operatorKey)
+    , m_memoryBytes(memoryBytes)
     , m_driver(driver)
     , m_journal(journal)
     , m_now(std::move(now))
@@ -62,6 +64,8 @@
         return jsonResponse(200, summary());
     if (isGet && target.path() == "/v1/profiles")
         return jsonResponse(200, profiles(true));
+    if (isGet && target.path() == "/v1/routes")
+        return routes();
     if (isGet && target.path() == "/v1/explain") {
         auto limit = std::min(mostExplanations, static_cast<size_t>(target.number("limit").value_or(100)));
         return jsonResponse(200, explain({ BackendId(target.value("backend")), ServiceName(target.value("service")), RequestId(target.value("request")), limit }));
@@ -211,6 +215,14 @@
     return json;
 }
 
+// Joins texts, because a table of the largest size would take several times its memory as a Json::Value.
+Transport::HttpResponse OperatorApi::routes() const
+{
+    const auto* table = state().routes().table();
+    auto body = R"({"memoryBytes":)" + std::to_string(m_memoryBytes) + R"(,"table":)" + (table ? Control::encodeRouteTable(*table) : "null") + "}\n";
+    return { 200, { { "content-type", "application/json" } }, std::move(body) };
+}
+
 Transport::HttpResponse OperatorApi::drain(const std::string& backend)
 {
     if (!state().localBackends().find(BackendId(backend)))
