fulmarctl: Add check, and describe it

Section 6.4 of docs/design/README.md: an operator could validate one profile, but neither routes nor tenants, and nothing told what publishing would change.

`fulmarctl check FILE...` reads the files, takes the configuration in force from files or a process, has LibCheck check them, and prints text or JSON. Its exit codes are 0 to 3 as the design says; they share numbers with the other codes, and so does the enumeration. Command-line errors of check end with 3, except unknown options, which cxxopts reports before the command is known.

--- a/Utilities/fulmarctl/CommandContext.h
+++ b/Utilities/fulmarctl/CommandContext.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <LibCheck/DocumentReader.h>
 #include <LibModel/Identifiers.h>
+#include <LibModel/Settings.h>
 #include <Utilities/fulmarctl/ExitCode.h>
 #include <Utilities/fulmarctl/FleetClient.h>
 
@@ -29,6 +31,20 @@
 
 namespace FulmarCtl {
 
+// What `check` compares with, and how it reads what the users' platform has its own forms for.
+struct CheckOptions {
+    // Files with the configuration in force.
+    std::vector<std::string> inForceFiles;
+    // Control address of the process that is asked for the configuration in force; empty if none is.
+    std::string process;
+    // Settings of a process; empty if not given.
+    std::string settingsFile;
+    // The same in the platform's form.
+    std::string nodeFile;
+    std::vector<Check::TableForm> tableForms;
+    std::function<Settings(std::string_view text, const std::string& fileName)> readNodeFile;
+};
+
 // What every command gets from the command line.
 struct CommandContext {
     // Reads the operator's settings and connects, when a command first needs the fleet. Throws Model::Error.
@@ -43,6 +59,7 @@
     std::string service;
     // Revision that a profile was edited from; nothing means the one in force.
     std::optional<Revision> base;
+    CheckOptions check;
     std::ostream& out;
 };
 
--- a/Utilities/fulmarctl/CommandTable.cpp
+++ b/Utilities/fulmarctl/CommandTable.cpp
@@ -1,5 +1,6 @@
 #include <Utilities/fulmarctl/CommandTable.h>
 
+#include <Utilities/fulmarctl/CheckCommand.h>
 #include <Utilities/fulmarctl/CompletionCommand.h>
 #include <Utilities/fulmarctl/ExplainCommand.h>
 #include <Utilities/fulmarctl/ProfileCommands.h>
@@ -14,6 +15,7 @@
 namespace {
 
     constexpr std::array commands {
+        Command { "check", "FILE...", 1, "Checks routes, tenants and profiles before they are published; see --in-force, --process, --settings, --json", runCheck, true, ExitCode::CheckUnreadable },
         Command { "profile validate", "FILE", 1, "Checks a profile without publishing it", validateProfile },
         Command { "profile defaults", "", 0, "Prints a profile with all default values", printDefaultProfile },
         Command { "profile diff", "FILE", 1, "Compares a profile with the revision in force", diffProfile },
--- a/Utilities/fulmarctl/CommandTable.h
+++ b/Utilities/fulmarctl/CommandTable.h
@@ -16,6 +16,12 @@
     size_t argumentCount { 0 };
     std::string_view summary;
     ExitCode (*run)(CommandContext&) { nullptr };
+    // Whether the last argument may be repeated.
+    bool takesMore { false };
+    // What a wrong number of arguments ends with.
+    ExitCode usageError { ExitCode::BadInput };
+
+    bool accepts(size_t count) const { return takesMore ? count >= argumentCount : count == argumentCount; }
 };
 
 std::span<const Command> allCommands();
--- a/Utilities/fulmarctl/CompletionCommand.cpp
+++ b/Utilities/fulmarctl/CompletionCommand.cpp
@@ -23,7 +23,7 @@
                 << "    --output) COMPREPLY=($(compgen -W \"table json\" -- \"$current\")) ;;\n    *) COMPREPLY=($(compgen -f -W \"";
     for (const auto& word : firstWords)
         context.out << word << " ";
-    context.out << "--config --output --author --wait --base --service --help --version\" -- \"$current\")) ;;\n    esac\n}\ncomplete -F _fulmarctl fulmarctl\n";
+    context.out << "--config --output --author --wait --base --service --json --in-force --process --settings --node-file --help --version\" -- \"$current\")) ;;\n    esac\n}\ncomplete -F _fulmarctl fulmarctl\n";
     return ExitCode::Done;
 }
 
--- a/Utilities/fulmarctl/ExitCode.h
+++ b/Utilities/fulmarctl/ExitCode.h
@@ -17,6 +17,10 @@
     Unknown = 4,
     // The change was accepted but isn't in force everywhere yet.
     NotYetEverywhere = 5,
+    // Those of `check`, which has numbers of its own so that scripts tell findings from failures; see docs/CHECK.md.
+    CheckWarnings = 1,
+    CheckErrors = 2,
+    CheckUnreadable = 3,
 };
 
 }
