--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -94,7 +94,7 @@
     , m_ingressCalls(ingressParties())
     , m_forwardedOrders(m_client, m_options.settings.limits.answerBodyBytes, [this](Transport::ServerRequestId id, Transport::HttpResponse response) { m_controlServer.respond(id, std::move(response)); })
     , m_driver(loop, nodeOptions(), [this](const Decision::Effect& effect) { carryOut(effect); })
-    , m_operatorApi(m_options.settings.operatorKey, m_driver, m_observability.journal(), [this] { return m_loop.now(); })
+    , m_operatorApi(m_options.settings.operatorKey, m_memory->total(), m_driver, m_observability.journal(), [this] { return m_loop.now(); })
 {
     m_state = &node().state();
     openSideServers();
