Tests: Note in the ledgers of stand-in backend servers which tenant ran what

Checks of tenants need to know, from the backend server itself, under which tenant's name each send of a request ran, and whether an API key arrived. The fleet's request id is unknown to a caller without an answer, so the load names each send in a header of its own.

--- a/Tests/StandIns/BackendMain.cpp
+++ b/Tests/StandIns/BackendMain.cpp
@@ -43,6 +43,7 @@
     settings.seed = options["seed"].as<uint64_t>();
     settings.lapse = millisecondsOption(options, "lapse-ms");
     settings.coldStart = millisecondsOption(options, "cold-start-ms");
+    settings.secretMarker = options["secret-marker"].as<std::string>();
     settings.drainTime = millisecondsOption(options, "drain-ms");
     return settings;
 }
@@ -76,6 +77,7 @@
     options.add_options()("lapse-ms", "how long an announcement holds", cxxopts::value<int64_t>()->default_value("5000"));
     options.add_options()("cold-start-ms", "how long it warms", cxxopts::value<int64_t>()->default_value("0"));
     options.add_options()("drain-ms", "how long it serves on after SIGTERM", cxxopts::value<int64_t>()->default_value("3000"));
+    options.add_options()("secret-marker", "text that no request may contain; those that do are listed in the ledger", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("help", "print this");
 
     try {
--- a/Tests/StandIns/RunLedger.cpp
+++ b/Tests/StandIns/RunLedger.cpp
@@ -4,6 +4,14 @@
 
 namespace StandIns {
 
+static Json::Value countsToJson(const std::map<std::string, uint32_t>& counts)
+{
+    Json::Value json(Json::objectValue);
+    for (const auto& [name, count] : counts)
+        json[name] = count;
+    return json;
+}
+
 uint32_t RunLedger::runsOf(const std::string& requestId) const
 {
     auto entry = m_runs.find(requestId);
@@ -20,12 +28,12 @@
     Json::Value result;
     result["total"] = Json::UInt64(totalRuns());
     result["distinct"] = Json::UInt64(distinctRequests());
-    result["runs"] = Json::Value(Json::objectValue);
-    for (const auto& [id, runs] : m_runs)
-        result["runs"][id] = runs;
-    result["targets"] = Json::Value(Json::objectValue);
-    for (const auto& [target, runs] : m_targets)
-        result["targets"][target] = runs;
+    result["runs"] = countsToJson(m_runs);
+    result["targets"] = countsToJson(m_targets);
+    result["sends"] = Json::Value(Json::objectValue);
+    for (const auto& [id, runsByTenant] : m_sends)
+        result["sends"][id] = countsToJson(runsByTenant);
+    result["leaks"] = countsToJson(m_leaks);
     return result;
 }
 
--- a/Tests/StandIns/StandInBackend.cpp
+++ b/Tests/StandIns/StandInBackend.cpp
@@ -98,6 +98,8 @@
 
 void StandInBackend::handle(ServerRequestId id, HttpRequest request)
 {
+    if (carriesSecret(request))
+        m_ledger.recordLeak(request.target);
     auto path = pathOf(request.target);
     if (path == "/health" || path == "/ledger" || path == "/fault") {
         handleOwn(id, request);
@@ -113,7 +115,7 @@
     auto faults = activeFaults();
     if (!faults.crashMarker.empty() && request.body.find(faults.crashMarker) != std::string::npos) {
         auto header = findHeader(request.headers, "fulmar-request-id");
-        m_ledger.recordRun(header ? std::string(*header) : "crash-" + std::to_string(++m_generatedIds), request.target);
+        recordRun(header ? std::string(*header) : "crash-" + std::to_string(++m_generatedIds), request);
         crash();
         return;
     }
@@ -186,7 +188,7 @@
 
 void StandInBackend::run(ServerRequestId id, Call& call)
 {
-    m_ledger.recordRun(call.requestId, call.request.target);
+    recordRun(call.requestId, call.request);
     ++m_running;
     call.isRunning = true;
     if (activeFaults().isStuck)
@@ -194,6 +196,29 @@
     call.timer = m_loop.callAt(m_loop.now() + serviceTime(), [this, id] { finish(id); });
 }
 
+void StandInBackend::recordRun(const std::string& requestId, const HttpRequest& request)
+{
+    m_ledger.recordRun(requestId, request.target);
+    auto send = findHeader(request.headers, sendIdHeader);
+    if (!send)
+        return;
+    std::string tenant;
+    for (const auto& header : request.headers) {
+        if (header.name == tenantHeader)
+            tenant += (tenant.empty() ? "" : ", ") + header.value;
+    }
+    m_ledger.recordSend(std::string(*send), tenant);
+}
+
+bool StandInBackend::carriesSecret(const HttpRequest& request) const
+{
+    auto contains = [this](const std::string& text) { return text.find(m_settings.secretMarker) != std::string::npos; };
+    if (m_settings.secretMarker.empty())
+        return false;
+    return contains(request.target) || contains(request.body)
+        || std::ranges::any_of(request.headers, [&](const HttpHeader& header) { return contains(header.name) || contains(header.value); });
+}
+
 Duration StandInBackend::serviceTime()
 {
     // The mean of a log-normal distribution is exp(mu + sigma^2 / 2).
--- a/Tests/StandIns/StandInBackend.h
+++ b/Tests/StandIns/StandInBackend.h
@@ -37,12 +37,18 @@
     Duration lapse { 5s };
     // How long it announces itself as warming after its start, and serves at a third of its speed.
     Duration coldStart { 0 };
+    // Text that callers' secrets contain. Requests that carry it are listed in the ledger; nothing is looked for if empty.
+    std::string secretMarker;
     // How long it goes on serving after it announced that it drains.
     Duration drainTime { 3s };
 };
 
 // A request with this header gets an answer that is longer by that many bytes.
 constexpr auto answerBytesHeader = "standin-answer-bytes";
+// Names one send of a request, in the ledger too. Unlike the fleet's id it is known to callers that got no answer.
+constexpr auto sendIdHeader = "standin-send-id";
+// Carries the name of the tenant; the settings of processes have to name it.
+constexpr auto tenantHeader = "tenant";
 
 // Everything that can be wrong with a backend server while its /health stays fine. POST /fault takes these as
 // JSON with the names in the comments; what a POST leaves out is as before any fault.
@@ -95,6 +101,8 @@
     void enqueue(Transport::ServerRequestId, Transport::HttpRequest);
     void startQueued();
     void run(Transport::ServerRequestId, Call&);
+    void recordRun(const std::string& requestId, const Transport::HttpRequest&);
+    bool carriesSecret(const Transport::HttpRequest&) const;
     void finish(Transport::ServerRequestId);
     void gone(Transport::ServerRequestId);
     void crash();
--- a/Tests/StandIns/TestStandInBackend.cpp
+++ b/Tests/StandIns/TestStandInBackend.cpp
@@ -50,6 +50,23 @@
     EXPECT_EQ(ledger["runs"]["r1"], 1);
 }
 
+// The soak's checks of tenants rest on these notes.
+TEST_F(StandInBackends, NotesTenantsBySendAndSecretsThatReachedIt)
+{
+    auto settings = quickSettings();
+    settings.secretMarker = "soak-key-";
+    StandInBackend watchful(loop, settings);
+    auto request = post(watchful.endpoint(), "");
+    request.request.headers = { { sendIdHeader, "s1" }, { tenantHeader, "north" } };
+    send(request);
+    request.request.headers = { { sendIdHeader, "s2" }, { "authorization", "Bearer soak-key-1" } };
+    send(request);
+    auto ledger = watchful.ledger().toJson();
+    EXPECT_EQ(ledger["sends"]["s1"]["north"].asUInt(), 1u);
+    EXPECT_EQ(ledger["sends"]["s2"][""].asUInt(), 1u);
+    EXPECT_EQ(ledger["leaks"].size(), 1u);
+}
+
 TEST_F(StandInBackends, RunsNoMoreThanItsSlots)
 {
     int answered = 0;
