Tests: Let the soak of real processes check tenants

The load and Meta/run-fleet.sh knew nothing of API keys, revocation, quotas, uploads and crowds.

Change: fulmar-load publishes routes and four tenants to the platform, one of which sends about five times its quota. Keys are added, removed and moved to other tenants by new versions during the load. Some requests carry removed or strange keys, all keyed ones a forged tenant name, and some go to a public route. Uploads have bodies of up to 360 kB, and a crowd stops one byte short of the end of legal bodies. One process is paused for longer than the revocation bound, at an instant and place that the seed chooses.

New checks: no key at a backend server, the name of the tenant that holds the key, no run after the revocation bound, no window above a quota, nothing run that was answered 429 or 503, no process that ended by itself. The sends of a request that is listed are printed.

A keyed booking counts as run twice if it did so for one tenant. Bookings and uploads that are sent once are counted as before.

TestSystem passes: each check finds its violation in a doctored ledger.

--- a/Meta/run-fleet.sh
+++ b/Meta/run-fleet.sh
@@ -9,6 +9,12 @@
 seconds="${FULMAR_SECONDS:-12}"
 seed="${FULMAR_SEED:-1}"
 faults="${FULMAR_FAULTS:-on}"
+tenants="${FULMAR_TENANTS:-on}"
+# Shorter than the default of 5 s, so that keys are removed and out of bounds within a short run.
+revocation_ms=3000
+crowd=120
+# fulmar-load waits this long until the configuration is in force.
+settling_s=0
 zones=(agadir agadir taroudant taroudant tiznit tiznit)
 fleet_key="example-fleet-key-example-fleet-key"
 operator_key="example-operator-key-example-operator"
@@ -75,6 +81,17 @@
 start platform "$build/Tests/StandIns/standin-platform" --port "$base" --admin-port $((base + 1))
 wait_for "the platform" curl -s "http://$platform/v1/kv/profiles/?recurse"
 
+# With tenants, callers go by the promises of statuses. The crowd nearly fills an account of 16 MiB.
+tenant_settings() {
+    [ "$tenants" = on ] || return 0
+    cat <<EOF
+routing: route-table
+edge: {tenant: tenant, statuses: by-promise}
+tenants: {strict-revocation: true, revocation-bound: ${revocation_ms}ms}
+limits: {memory-bytes: 16777216}
+EOF
+}
+
 write_settings() {
     local index="$1"
     cat >"$directory/fulmard-$index.yaml" <<EOF
@@ -89,9 +106,23 @@
 operator-key: $operator_key
 trace: {sampled-share: 0.05}
 leave-timeout: 10s
+$(tenant_settings)
 EOF
 }
 
+# Says which processes have ended though nobody ended them.
+report_ended() {
+    local index ended=0
+    for index in "${!fulmard_pids[@]}"; do
+        if [ "$index" != "$killed" ] && ! kill -0 "${fulmard_pids[$index]}" 2>/dev/null; then
+            echo "fulmard-$index ended by itself; its last lines:"
+            tail -n 5 "$directory/fulmard-$index.out" "$directory/fulmard-$index.log"
+            ended=1
+        fi
+    done
+    return "$ended"
+}
+
 cat >"$directory/fulmarctl.yaml" <<EOF
 nodes: [$(for index in "${!zones[@]}"; do printf '127.0.0.1:%s%s' $((base + 3 + 2 * index)) "$([ "$index" -lt $((${#zones[@]} - 1)) ] && echo ', ')"; done)]
 platform: [$platform]
@@ -123,7 +154,7 @@
         for copy in 1 2; do
             name="${service%%:*}-$index-$copy"
             start "$name" "$build/Tests/StandIns/standin-backend" --id "$name" --service "${service%%:*}" --profile "${service##*:}" \
-                --control "127.0.0.1:$((base + 3 + 2 * index))" --mean-service-ms 15 --seed "$((index * 10 + copy))" --drain-ms 1000
+                --secret-marker soak-key- --control "127.0.0.1:$((base + 3 + 2 * index))" --mean-service-ms 15 --seed "$((index * 10 + copy))" --drain-ms 1000
             backend_names+=("$name")
         done
     done
@@ -136,15 +167,34 @@
 sleep 11
 $control status
 
+load_options=()
+if [ "$tenants" = on ]; then
+    settling_s=4
+    load_options=(--platform "$platform" --revocation-bound-ms "$revocation_ms" --crowd "$crowd")
+fi
+
+killed=none
 if [ "$faults" = on ]; then
-    say "faults to come: one backend server 10 times slower, one cutting answers, one with silent connections, one fulmard killed"
+    say "faults to come: one backend server 10 times slower, one cutting answers, one with silent connections, one fulmard killed, one paused"
+    killed=5
+    # A process that is paused for longer than the revocation bound wakes up with keys that were removed meanwhile.
+    RANDOM="$seed"
+    paused=$((1 + RANDOM % 4))
+    pause_after=$((settling_s + 2 + RANDOM % 3))
+    (
+        sleep "$pause_after"
+        kill -STOP "${fulmard_pids[$paused]}"
+        sleep 6
+        kill -CONT "${fulmard_pids[$paused]}"
+    ) >/dev/null &
+    pids+=("$!")
     (
-        sleep 3
+        sleep $((settling_s + 3))
         curl -fs -X POST "http://$(endpoint_of commission-desk-1-1)/fault" -d '{"slow_factor": 10}'
         curl -fs -X POST "http://$(endpoint_of collection-desk-2-1)/fault" -d '{"cut_share": 1}'
         curl -fs -X POST "http://$(endpoint_of commission-desk-3-1)/fault" -d '{"silent": true}'
         sleep 2
-        kill -9 "${fulmard_pids[5]}"
+        kill -9 "${fulmard_pids[$killed]}"
     ) >/dev/null &
     pids+=("$!")
 fi
@@ -152,7 +202,8 @@
 say "$rate requests per second for $seconds s"
 status=0
 "$build/Tests/System/fulmar-load" "${ingresses[@]}" "${backends[@]}" --service commission-desk --service collection-desk \
-    --rate "$rate" --seconds "$seconds" --seed "$seed" || status=$?
+    --rate "$rate" --seconds "$seconds" --seed "$seed" "${load_options[@]}" || status=$?
+report_ended || status=1
 
 if [ "$faults" = on ]; then
     say "what the fleet decided"
--- a/Tests/System/Load/LedgerReader.cpp
+++ b/Tests/System/Load/LedgerReader.cpp
@@ -3,6 +3,9 @@
 #include <LibModel/Error.h>
 #include <Tests/StandIns/Json.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace Load {
 
 namespace {
@@ -50,6 +53,12 @@
     const auto& targets = (*json)["targets"];
     for (const auto& target : targets.getMemberNames())
         m_ledger.runsByLoadId[lastSegment(target)] += targets[target].asUInt();
+    const auto& sends = (*json)["sends"];
+    for (const auto& send : sends.getMemberNames()) {
+        for (const auto& tenant : sends[send].getMemberNames())
+            m_ledger.runsBySend[send][tenant] += sends[send][tenant].asUInt();
+    }
+    std::ranges::copy((*json)["leaks"].getMemberNames(), std::back_inserter(m_ledger.leaks));
     if (--m_missing == 0)
         m_onDone(std::move(m_ledger));
 }
--- a/Tests/System/Load/LoadRecord.h
+++ b/Tests/System/Load/LoadRecord.h
@@ -21,6 +21,8 @@
     KeyedBooking,
     // Idempotent, straight to a backend server.
     Direct,
+    // Not idempotent, with a large body, sent once.
+    Upload,
 };
 
 }
@@ -32,6 +34,7 @@
         EnumName { Load::RequestKind::Booking, "booking" },
         EnumName { Load::RequestKind::KeyedBooking, "keyed booking" },
         EnumName { Load::RequestKind::Direct, "direct" },
+        EnumName { Load::RequestKind::Upload, "upload" },
     };
 };
 
@@ -71,6 +74,11 @@
     // Whether a whole answer carried this request's own id and an unbroken body.
     bool isOwnAnswer { false };
     bool isWholeAnswer { false };
+    // Known to the backend servers that ran it, also if nothing came back.
+    std::string sendId;
+    // API key that entitles the send; empty if it goes without, also if it carries one on a public route.
+    std::string key;
+    Instant sentAt {};
 };
 
 // One request of the load, with all its sends.
--- a/Tests/System/Load/LoadReport.cpp
+++ b/Tests/System/Load/LoadReport.cpp
@@ -60,6 +60,29 @@
             stream << "  " << std::setw(8) << count << "  " << told << "\n";
     }
 
+    // Shows that the checks of tenants had something to check.
+    void printTenants(std::ostream& stream, const std::vector<RequestRecord>& requests, const Ledger& ledger, const TenantHistory& history)
+    {
+        size_t removedKeys = 0;
+        size_t lateSends = 0;
+        for (const auto& [key, holdings] : history.holdingsByKey)
+            removedKeys += holdings.back().until == Instant::max() ? 0 : 1;
+        for (const auto& request : requests) {
+            lateSends += std::ranges::count_if(request.sends, [&](const SendRecord& send) {
+                auto holdings = history.holdingsByKey.find(send.key);
+                return holdings != history.holdingsByKey.end() && holdings->second.back().until < send.sentAt - history.revocationBound;
+            });
+        }
+        stream << "\ntenants: " << history.holdingsByKey.size() << " keys, " << removedKeys << " removed, " << lateSends
+               << " sends with one after the revocation bound; most that ran in a window:";
+        for (const auto& [tenant, most] : mostInWindows(requests, ledger, history)) {
+            const auto& quota = history.quotas.at(tenant);
+            if (quota.isLimited())
+                stream << " " << tenant << " " << most << " of " << quota.mostIn(history.quotaWindow);
+        }
+        stream << "\n";
+    }
+
     void printViolations(std::ostream& stream, const char* name, const std::vector<std::string>& ids)
     {
         stream << "  " << std::left << std::setw(14) << name << std::right << std::setw(6) << ids.size();
@@ -68,6 +91,23 @@
         stream << "\n";
     }
 
+    // Lists all sends of a request that is among the violations, so that they can be looked up in the processes' logs.
+    void printSends(std::ostream& stream, const RequestRecord& request, const Ledger& ledger)
+    {
+        for (const auto& send : request.sends) {
+            stream << "    " << send.sendId << " " << nameOf(request.kind) << " key " << (send.key.empty() ? "none" : send.key) << ", sent at "
+                   << milliseconds(send.sentAt.time_since_epoch()) << " ms, " << nameOf(send.told) << " (" << send.reason << ") " << send.status
+                   << " after " << milliseconds(send.elapsed) << " ms, fleet id " << send.fleetRequestId << "; ran";
+            auto runs = ledger.runsBySend.find(send.sendId);
+            if (runs == ledger.runsBySend.end())
+                stream << " not";
+            else
+                for (const auto& [tenant, count] : runs->second)
+                    stream << " " << count << " times for \"" << tenant << "\"";
+            stream << "\n";
+        }
+    }
+
 }
 
 Duration quantile(std::vector<Duration>& values, double share)
@@ -79,7 +119,7 @@
     return values[position];
 }
 
-void printReport(std::ostream& stream, const LoadPlan& plan, const std::vector<RequestRecord>& requests, const Ledger& ledger, const Violations& violations)
+void printReport(std::ostream& stream, const LoadPlan& plan, const std::vector<RequestRecord>& requests, const Ledger& ledger, const TenantHistory& history, const Violations& violations)
 {
     auto seconds = static_cast<double>(plan.length.count()) / 1e6;
     stream << requests.size() << " requests in " << seconds << " s (" << static_cast<double>(requests.size()) / seconds << "/s), seed " << plan.seed
@@ -87,11 +127,26 @@
     printLatencies(stream, requests);
     stream << "\n";
     printOutcomes(stream, requests);
+    if (!history.quotas.empty())
+        printTenants(stream, requests, ledger, history);
     stream << "\nledgers (each must be 0):\n";
     printViolations(stream, "doubled", violations.doubled);
     printViolations(stream, "crossed", violations.crossed);
     printViolations(stream, "cut", violations.cut);
     printViolations(stream, "falsely told", violations.falselyTold);
+    printViolations(stream, "leaked", violations.leaked);
+    printViolations(stream, "misnamed", violations.misnamed);
+    printViolations(stream, "revoked", violations.revoked);
+    printViolations(stream, "over quota", violations.overQuota);
+    for (const auto* ids : { &violations.doubled, &violations.falselyTold, &violations.misnamed, &violations.revoked }) {
+        for (const auto& request : requests) {
+            bool isListed = std::ranges::any_of(*ids, [&](const std::string& id) {
+                return id == request.id || std::ranges::any_of(request.sends, [&](const SendRecord& send) { return send.sendId == id; });
+            });
+            if (isListed)
+                printSends(stream, request, ledger);
+        }
+    }
 }
 
 }
--- a/Tests/System/Load/LoadRunner.cpp
+++ b/Tests/System/Load/LoadRunner.cpp
@@ -1,6 +1,9 @@
 #include "LoadRunner.h"
 
 #include <Tests/StandIns/Json.h>
+#include <Tests/StandIns/StandInBackend.h>
+
+#include <algorithm>
 
 namespace Load {
 
@@ -47,10 +50,11 @@
     return record;
 }
 
-LoadRunner::LoadRunner(Transport::EventLoop& loop, Transport::HttpClient& client, LoadPlan plan)
+LoadRunner::LoadRunner(Transport::EventLoop& loop, Transport::HttpClient& client, LoadPlan plan, TenantPublisher* publisher)
     : m_loop(loop)
     , m_client(client)
     , m_plan(std::move(plan))
+    , m_publisher(publisher)
     , m_random(m_plan.seed)
 {
 }
@@ -87,8 +91,8 @@
 
 RequestKind LoadRunner::chooseKind()
 {
-    std::discrete_distribution<int> kinds { 1 - m_plan.bookingShare - m_plan.keyedBookingShare - m_plan.directShare,
-        m_plan.bookingShare, m_plan.keyedBookingShare, m_plan.directShare };
+    std::discrete_distribution<int> kinds { 1 - m_plan.bookingShare - m_plan.keyedBookingShare - m_plan.directShare - m_plan.uploadShare,
+        m_plan.bookingShare, m_plan.keyedBookingShare, m_plan.directShare, m_plan.uploadShare };
     return EnumNames<RequestKind>::entries[kinds(m_random)].value;
 }
 
@@ -98,11 +102,31 @@
     sending.index = m_requests.size();
     sending.service = pick(m_plan.services);
     sending.account = "account-" + std::to_string(std::uniform_int_distribution<uint32_t>(1, m_plan.accounts)(m_random));
-    m_requests.push_back({ makeId(m_plan.seed, sending.index), chooseKind(), {} });
+    auto kind = chooseKind();
+    m_requests.push_back({ makeId(m_plan.seed, sending.index), kind, {} });
+    if (m_publisher && kind != RequestKind::Direct)
+        addIdentity(sending, kind);
     ++m_open;
     send(std::move(sending));
 }
 
+void LoadRunner::addIdentity(Sending& sending, RequestKind kind)
+{
+    sending.apiKey = m_publisher->chooseKey();
+    sending.isPublic = kind == RequestKind::Lookup && std::bernoulli_distribution(m_plan.publicShare)(m_random);
+}
+
+std::string LoadRunner::bodyOf(const RequestRecord& request)
+{
+    // Bodies of uploads as the platform describes them.
+    constexpr double meanUploadBytes = 60'000;
+    constexpr double mostUploadBytes = 360'000;
+    std::string body = "{\"booking\":\"" + request.id + "\"}";
+    if (request.kind == RequestKind::Upload)
+        body.resize(body.size() + static_cast<size_t>(std::min(mostUploadBytes, std::exponential_distribution<double>(1 / meanUploadBytes)(m_random))), 'x');
+    return body;
+}
+
 Transport::ClientRequest LoadRunner::makeRequest(const Sending& sending)
 {
     const auto& record = m_requests[sending.index];
@@ -114,12 +138,21 @@
     auto& http = request.request;
     bool isLookup = record.kind == RequestKind::Lookup || record.kind == RequestKind::Direct;
     http.method = isLookup ? "GET" : "POST";
-    http.target = (isLookup ? "/lookup/" : "/book/") + record.id;
+    std::string path = record.kind == RequestKind::Upload ? "/upload/" : isLookup ? "/lookup/"
+                                                                                  : "/book/";
+    http.target = (sending.isPublic ? "/open/" : path) + record.id;
     http.authority = sending.service;
     http.headers = { { "fulmar-account", sending.account }, { "x-load-id", record.id },
         { "fulmar-deadline-ms", std::to_string(std::chrono::floor<std::chrono::milliseconds>(m_plan.deadline).count()) } };
     if (!isLookup)
-        http.body = "{\"booking\":\"" + record.id + "\"}";
+        http.body = bodyOf(record);
+    if (!sending.sendId.empty())
+        http.headers.push_back({ StandIns::sendIdHeader, sending.sendId });
+    if (!sending.apiKey.empty()) {
+        http.headers.push_back({ "authorization", "Bearer " + sending.apiKey });
+        // A name that callers choose themselves must not reach a backend server.
+        http.headers.push_back({ StandIns::tenantHeader, "forged" });
+    }
     if (record.kind == RequestKind::KeyedBooking)
         http.headers.push_back({ "idempotency-key", "\"" + record.id + "\"" });
     return request;
@@ -128,6 +161,8 @@
 void LoadRunner::send(Sending sending)
 {
     ++sending.sent;
+    sending.sendId = m_requests[sending.index].id + "." + std::to_string(sending.sent);
+    sending.sentAt = m_loop.now();
     auto request = makeRequest(sending);
     m_client.send(std::move(request), [this, sending = std::move(sending)](const ClientResult& result) { finish(sending, result); });
 }
@@ -136,6 +171,9 @@
 {
     auto& request = m_requests[sending.index];
     request.sends.push_back(readResult(request.id, result));
+    request.sends.back().sendId = sending.sendId;
+    request.sends.back().key = sending.isPublic ? "" : sending.apiKey;
+    request.sends.back().sentAt = sending.sentAt;
     bool isResent = request.kind == RequestKind::KeyedBooking && request.sends.back().told != Told::Answered && sending.sent <= m_plan.resends;
     if (!isResent) {
         finishOne();
