--- a/Meta/run-fleet.sh
+++ b/Meta/run-fleet.sh
@@ -204,6 +204,10 @@
 "$build/Tests/System/fulmar-load" "${ingresses[@]}" "${backends[@]}" --service commission-desk --service collection-desk \
     --rate "$rate" --seconds "$seconds" --seed "$seed" "${load_options[@]}" || status=$?
 report_ended || status=1
+if grep -l soak-key- "$directory"/fulmard-*.out "$directory"/fulmard-*.log; then
+    echo "an API key is in these logs"
+    status=1
+fi
 
 if [ "$faults" = on ]; then
     say "what the fleet decided"
--- a/Tests/System/Load/LoadReport.cpp
+++ b/Tests/System/Load/LoadReport.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    // Of each kind of violation.
+    constexpr size_t mostPrinted = 3;
+
     std::vector<Duration> answeredLatencies(const std::vector<RequestRecord>& requests, RequestKind kind)
     {
         std::vector<Duration> latencies;
@@ -86,12 +89,12 @@
     void printViolations(std::ostream& stream, const char* name, const std::vector<std::string>& ids)
     {
         stream << "  " << std::left << std::setw(14) << name << std::right << std::setw(6) << ids.size();
-        for (size_t index = 0; index < std::min<size_t>(ids.size(), 3); ++index)
+        for (size_t index = 0; index < std::min(ids.size(), mostPrinted); ++index)
             stream << "  " << ids[index];
         stream << "\n";
     }
 
-    // Lists all sends of a request that is among the violations, so that they can be looked up in the processes' logs.
+    // The sends of violating requests can be looked up in the processes' logs.
     void printSends(std::ostream& stream, const RequestRecord& request, const Ledger& ledger)
     {
         for (const auto& send : request.sends) {
@@ -108,6 +111,19 @@
         }
     }
 
+    // The ids are those of requests or sends.
+    void printRequests(std::ostream& stream, const std::vector<std::string>& ids, const std::vector<RequestRecord>& requests, const Ledger& ledger)
+    {
+        size_t printed = 0;
+        for (const auto& request : requests) {
+            bool isListed = std::ranges::any_of(ids, [&](const std::string& id) {
+                return id == request.id || std::ranges::any_of(request.sends, [&](const SendRecord& send) { return send.sendId == id; });
+            });
+            if (isListed && printed++ < mostPrinted)
+                printSends(stream, request, ledger);
+        }
+    }
+
 }
 
 Duration quantile(std::vector<Duration>& values, double share)
@@ -138,15 +154,8 @@
     printViolations(stream, "misnamed", violations.misnamed);
     printViolations(stream, "revoked", violations.revoked);
     printViolations(stream, "over quota", violations.overQuota);
-    for (const auto* ids : { &violations.doubled, &violations.falselyTold, &violations.misnamed, &violations.revoked }) {
-        for (const auto& request : requests) {
-            bool isListed = std::ranges::any_of(*ids, [&](const std::string& id) {
-                return id == request.id || std::ranges::any_of(request.sends, [&](const SendRecord& send) { return send.sendId == id; });
-            });
-            if (isListed)
-                printSends(stream, request, ledger);
-        }
-    }
+    for (const auto* ids : { &violations.doubled, &violations.falselyTold, &violations.misnamed, &violations.revoked })
+        printRequests(stream, *ids, requests, ledger);
 }
 
 }
