--- a/Meta/run-fleet.sh
+++ b/Meta/run-fleet.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Starts a small fleet on loopback with stand-ins for the platform and the backend servers, sends real calls while
-# faults come and go, shows what happened, and stops everything that it started.
+# Starts a small fleet on loopback with stand-ins for the platform and the backend servers, sends real calls of several
+# tenants while faults come and go, checks and shows what happened, and stops everything that it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -173,14 +173,12 @@
     load_options=(--platform "$platform" --revocation-bound-ms "$revocation_ms" --crowd "$crowd")
 fi
 
-killed=none
-if [ "$faults" = on ]; then
-    say "faults to come: one backend server 10 times slower, one cutting answers, one with silent connections, one fulmard killed, one paused"
-    killed=5
-    # A process that is paused for longer than the revocation bound wakes up with keys that were removed meanwhile.
+# A process that is paused for longer than the revocation bound wakes up with keys that were removed meanwhile.
+if [ "$tenants$faults" = onon ]; then
     RANDOM="$seed"
     paused=$((1 + RANDOM % 4))
     pause_after=$((settling_s + 2 + RANDOM % 3))
+    say "one fulmard will be paused for 6 s"
     (
         sleep "$pause_after"
         kill -STOP "${fulmard_pids[$paused]}"
@@ -188,6 +186,12 @@
         kill -CONT "${fulmard_pids[$paused]}"
     ) >/dev/null &
     pids+=("$!")
+fi
+
+killed=none
+if [ "$faults" = on ]; then
+    say "faults to come: one backend server 10 times slower, one cutting answers, one with silent connections, one fulmard killed"
+    killed=5
     (
         sleep $((settling_s + 3))
         curl -fs -X POST "http://$(endpoint_of commission-desk-1-1)/fault" -d '{"slow_factor": 10}'
