Tests: Let the soak silence reads of the store

The check of revoked keys was only seen to fail with the tenant directory frozen at its first table.

Change: the stand-in platform has the fault "silent-reads", in which writes are confirmed and reads and watches get no answer. By its seed, a soak with tenants and faults plays either that or the pause, for 6 s.

TestStandIns passes.

--- a/Meta/run-fleet.sh
+++ b/Meta/run-fleet.sh
@@ -173,17 +173,21 @@
     load_options=(--platform "$platform" --revocation-bound-ms "$revocation_ms" --crowd "$crowd")
 fi
 
-# A process that is paused for longer than the revocation bound wakes up with keys that were removed meanwhile.
+silence_platform() { curl -fs -X PUT "http://127.0.0.1:$((base + 1))/standin/fault" -d "{\"mode\": \"$1\"}"; }
+
+# For longer than the revocation bound, one process is paused, or none learns of new configurations. Either may then know
+# keys that were removed meanwhile.
 if [ "$tenants$faults" = onon ]; then
     RANDOM="$seed"
     paused=$((1 + RANDOM % 4))
-    pause_after=$((settling_s + 2 + RANDOM % 3))
-    say "one fulmard will be paused for 6 s"
+    fault_after=$((settling_s + 2 + RANDOM % 3))
+    fault_of_all=$((RANDOM % 2))
+    say "for 6 s, $([ "$fault_of_all" = 1 ] && echo "the platform will answer no reads" || echo "one fulmard will be paused")"
     (
-        sleep "$pause_after"
-        kill -STOP "${fulmard_pids[$paused]}"
+        sleep "$fault_after"
+        if [ "$fault_of_all" = 1 ]; then silence_platform silent-reads; else kill -STOP "${fulmard_pids[$paused]}"; fi
         sleep 6
-        kill -CONT "${fulmard_pids[$paused]}"
+        if [ "$fault_of_all" = 1 ]; then silence_platform up; else kill -CONT "${fulmard_pids[$paused]}"; fi
     ) >/dev/null &
     pids+=("$!")
 fi
--- a/Tests/StandIns/StandInPlatform.cpp
+++ b/Tests/StandIns/StandInPlatform.cpp
@@ -86,7 +86,8 @@
 
 void StandInPlatform::receive(ServerRequestId id, HttpRequest request)
 {
-    if (m_faults.mode == PlatformMode::Hanging)
+    bool isSilenced = m_faults.mode == PlatformMode::SilentReads && request.method == "GET";
+    if (m_faults.mode == PlatformMode::Hanging || isSilenced)
         return;
     if (m_faults.delay == Duration(0)) {
         handle(id, request);
@@ -218,11 +219,14 @@
 {
     auto watch = m_watches.extract(id);
     m_loop.cancelTimer(watch.mapped().timer);
-    m_server->respond(id, listing(watch.mapped().prefix));
+    if (m_faults.mode != PlatformMode::SilentReads)
+        m_server->respond(id, listing(watch.mapped().prefix));
 }
 
 void StandInPlatform::wakeWatches()
 {
+    if (m_faults.mode == PlatformMode::SilentReads)
+        return;
     std::vector<ServerRequestId> woken;
     for (const auto& [id, watch] : m_watches) {
         if (m_store.indexOf(watch.prefix) > watch.index)
@@ -259,6 +263,7 @@
     } else if (!m_server) {
         listen();
     }
+    wakeWatches();
 }
 
 void StandInPlatform::expireLeases()
--- a/Tests/StandIns/StandInPlatform.h
+++ b/Tests/StandIns/StandInPlatform.h
@@ -20,6 +20,8 @@
     Refusing,
     // Requests get no answer and take no effect.
     Hanging,
+    // Reads and watches get no answer; writes take effect and are confirmed.
+    SilentReads,
 };
 
 struct PlatformFaults {
@@ -41,7 +43,7 @@
 // Stands in for the platform's key-value service. Speaks Consul's HTTP API for keys and sessions:
 // https://developer.hashicorp.com/consul/api-docs/kv and https://developer.hashicorp.com/consul/api-docs/session
 //
-// Its own endpoint takes faults: PUT /standin/fault {"mode": "up|refusing|hanging", "delay_ms": n, "lost_replies": n},
+// Its own endpoint takes faults: PUT /standin/fault {"mode": "up|refusing|hanging|silent-reads", "delay_ms": n, "lost_replies": n},
 // PUT /standin/expire-leases, PUT /standin/snapshot, PUT /standin/restore, GET /standin/counters.
 class StandInPlatform {
 public:
@@ -104,5 +106,6 @@
         EnumName { StandIns::PlatformMode::Up, "up" },
         EnumName { StandIns::PlatformMode::Refusing, "refusing" },
         EnumName { StandIns::PlatformMode::Hanging, "hanging" },
+        EnumName { StandIns::PlatformMode::SilentReads, "silent-reads" },
     };
 };
--- a/Tests/StandIns/TestStandInPlatform.cpp
+++ b/Tests/StandIns/TestStandInPlatform.cpp
@@ -84,6 +84,20 @@
     EXPECT_GE(call("GET", "/v1/kv/a").elapsed, 30ms);
 }
 
+TEST_F(StandInPlatforms, ConfirmsWritesWhileReadsAreSilent)
+{
+    call("PUT", "/v1/kv/a", "old");
+    auto index = platform.store().indexOf("a");
+    std::optional<ClientResult> result;
+    client.send(get(platform.endpoint(), "/v1/kv/a?recurse&wait=5s&index=" + std::to_string(index)), [&](ClientResult answer) { result = std::move(answer); });
+    ASSERT_TRUE(runUntil([&] { return platform.waitingWatches() == 1; }));
+    admin("/standin/fault", R"({"mode": "silent-reads"})");
+    EXPECT_EQ(call("PUT", "/v1/kv/a", "new").response.body, "true");
+    EXPECT_FALSE(runUntil([&] { return result.has_value(); }, 50ms));
+    admin("/standin/fault", R"({"mode": "up"})");
+    EXPECT_TRUE(runUntil([&] { return result.has_value(); }));
+}
+
 TEST_F(StandInPlatforms, GoesBackToASnapshotAndEndsWatches)
 {
     call("PUT", "/v1/kv/a", "old");
