--- a/Libraries/LibDecision/Quotas/QuotaRequester.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaRequester.cpp
@@ -147,6 +147,7 @@
         request.needs.push_back({ tenant, wanted, aheadOf(turn.now(), state) });
     }
     ++m_counters.questions;
+    m_counters.forwardedQuestions += question.target.forwardTo.isEmpty() ? 0 : 1;
     m_requests.push_back({ question.target.to, std::move(request) });
     partition.question = std::move(question);
     m_timeouts.set(number, turn.now() + questionTimeout);
--- a/Libraries/LibDecision/Quotas/QuotaRequester.h
+++ b/Libraries/LibDecision/Quotas/QuotaRequester.h
@@ -33,6 +33,8 @@
 struct QuotaRequesterCounters {
     uint64_t questions { 0 };
     uint64_t unansweredQuestions { 0 };
+    // Questions that another process forwards to the holder.
+    uint64_t forwardedQuestions { 0 };
     uint64_t passed { 0 };
     uint64_t passedAhead { 0 };
     uint64_t exceeded { 0 };
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -79,6 +79,8 @@
     ZoneStays,
     ZoneCrossings,
     ZoneLacks,
+    // Run orders that were forwarded to other processes.
+    OrdersForwarded,
     // The holder's side.
     QuotaTokensGranted,
     QuotaTokensRefused,
@@ -89,6 +91,7 @@
     QuotaQuestions,
     QuotaAnswers,
     QuotaRoundTripMicroseconds,
+    QuotaQuestionsForwarded,
 };
 
 }
@@ -157,6 +160,7 @@
         EnumName { Telemetry::Total::ZoneStays, "fulmar_zone_stays_total" },
         EnumName { Telemetry::Total::ZoneCrossings, "fulmar_zone_crossings_total" },
         EnumName { Telemetry::Total::ZoneLacks, "fulmar_zone_lacks_total" },
+        EnumName { Telemetry::Total::OrdersForwarded, "fulmar_forwarded_orders_total" },
         EnumName { Telemetry::Total::QuotaTokensGranted, "fulmar_quota_tokens_granted_total" },
         EnumName { Telemetry::Total::QuotaTokensRefused, "fulmar_quota_tokens_refused_total" },
         EnumName { Telemetry::Total::QuotaCallsPassed, "fulmar_quota_calls_passed_total" },
@@ -165,6 +169,7 @@
         EnumName { Telemetry::Total::QuotaQuestions, "fulmar_quota_questions_total" },
         EnumName { Telemetry::Total::QuotaAnswers, "fulmar_quota_answers_total" },
         EnumName { Telemetry::Total::QuotaRoundTripMicroseconds, "fulmar_quota_round_trip_microseconds_total" },
+        EnumName { Telemetry::Total::QuotaQuestionsForwarded, "fulmar_quota_questions_forwarded_total" },
     };
 };
 
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -466,6 +466,7 @@
     metrics.set(Total::ZoneStays, crossings.stayed);
     metrics.set(Total::ZoneCrossings, crossings.left);
     metrics.set(Total::ZoneLacks, crossings.lacking);
+    metrics.set(Total::OrdersForwarded, m_forwardedOrders.total());
     const auto& holder = state.quotas().holder();
     metrics.set(Gauge::QuotaPartitionsHeld, static_cast<double>(holder.heldCount()));
     metrics.set(Total::QuotaTokensGranted, holder.counters().tokensGranted + holder.counters().tokensGrantedAhead);
@@ -477,6 +478,7 @@
     metrics.set(Total::QuotaQuestions, quotas.questions);
     metrics.set(Total::QuotaAnswers, quotas.answeredQuestions);
     metrics.set(Total::QuotaRoundTripMicroseconds, static_cast<uint64_t>(quotas.roundTrips / 1us));
+    metrics.set(Total::QuotaQuestionsForwarded, quotas.forwardedQuestions);
     metrics.set(Total::LogLinesSuppressed, m_observability.log().suppressedLines());
     return metrics.prometheusText();
 }
--- a/Services/fulmard/ForwardedOrders.h
+++ b/Services/fulmard/ForwardedOrders.h
@@ -21,7 +21,7 @@
     void forward(Transport::ServerRequestId, const Control::RunOrder&, Transport::HttpRequest);
     // Closes the connection to the sidecar; the run continues there.
     void senderGone(Transport::ServerRequestId);
-    size_t inFlight() const { return m_forwarded.size(); }
+    // Orders that were forwarded so far.
     uint64_t total() const { return m_total; }
 
 private:
--- a/Tests/LibDecision/Quotas/TestQuotas.cpp
+++ b/Tests/LibDecision/Quotas/TestQuotas.cpp
@@ -129,6 +129,7 @@
     fleet.runFor(13s);
     EXPECT_EQ(fleet.holderOf(hotelPartition), holding);
     EXPECT_EQ(fleet.count(hotel, isPassed), fleet.calls().size());
+    EXPECT_GT(fleet.fleet().process(cutOff).quotas().requester().counters().forwardedQuestions, 0u);
 }
 
 // Each read of the store is paid for, and every process of a fleet that starts asks for each partition.
