--- a/Libraries/LibDecision/Quotas/QuotaHolder.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.cpp
@@ -274,7 +274,7 @@
     hold.knownHolder = m_self.instance;
     hold.buckets.emplace(turn.now(), m_terms);
     ++m_counters.acquisitions;
-    explain(turn, DecisionKind::QuotaAcquired, nameOfPartition(partition) + ": the buckets start empty; the lease is proven for " + milliseconds(m_lease->remaining(turn.now())));
+    explain(turn, DecisionKind::QuotaAcquired, nameOfPartition(partition) + ": the buckets begin a burst below nothing; the lease is proven for " + milliseconds(m_lease->remaining(turn.now())));
 }
 
 void QuotaHolder::sendRelease(Turn& turn, uint32_t partition, Hold& hold)
