LibDecision: Fill a new quota holder's buckets from the earlier holder's last grant

An earlier holder granted nothing within the margin before its key came free, so buckets fill from there; after a return of the store from a copy, from the end of its proof.

--- a/Libraries/LibDecision/Quotas/QuotaBuckets.h
+++ b/Libraries/LibDecision/Quotas/QuotaBuckets.h
@@ -21,8 +21,9 @@
     // would be lost. The slack of the bound on quotas (20 requests) covers it.
     static constexpr double minimumCapacity = 5;
 
-    explicit QuotaBuckets(Instant now, const QuotaTerms& terms = {})
-        : m_startedAt(now)
+    // An earlier holder granted nothing after the instant.
+    explicit QuotaBuckets(Instant lastEarlierGrant, const QuotaTerms& terms = {})
+        : m_startedAt(lastEarlierGrant)
         , m_terms(terms)
     {
     }
--- a/Libraries/LibDecision/Quotas/QuotaHolder.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.cpp
@@ -106,6 +106,14 @@
     return m_lease && isEraSettled && m_lease->provenAt() > m_suspendedUntil && m_lease->remaining(now) > m_terms.grantMargin();
 }
 
+// A key becomes free a margin after the last grant at the earliest. After a return of the store from a copy, an earlier
+// holder may go on until its proof ends.
+Instant QuotaHolder::lastEarlierGrant(Instant now) const
+{
+    auto proofTime = quotaLeaseTime - quotaLeaseTime / 10;
+    return std::max(now, m_eraSince.value_or(now) + proofTime) - m_terms.grantMargin();
+}
+
 bool QuotaHolder::canGrant(Instant now, uint32_t partition) const
 {
     auto entry = m_holds.find(partition);
@@ -272,7 +280,7 @@
     hold.state = HoldState::Held;
     hold.heldSince = turn.now();
     hold.knownHolder = m_self.instance;
-    hold.buckets.emplace(turn.now(), m_terms);
+    hold.buckets.emplace(lastEarlierGrant(turn.now()), m_terms);
     ++m_counters.acquisitions;
     explain(turn, DecisionKind::QuotaAcquired, nameOfPartition(partition) + ": the buckets begin a burst below nothing; the lease is proven for " + milliseconds(m_lease->remaining(turn.now())));
 }
--- a/Libraries/LibDecision/Quotas/QuotaHolder.h
+++ b/Libraries/LibDecision/Quotas/QuotaHolder.h
@@ -106,6 +106,8 @@
 
     bool isActive() const { return !m_isLeaving && !m_stopAt; }
     bool isProven(Instant now) const;
+    // Returns an instant that is no earlier than the last grant of an earlier holder of a key that was acquired now.
+    Instant lastEarlierGrant(Instant now) const;
     bool isWanted(Instant now, const Hold&) const;
     // Returns true if the holder was read recently, so that asking processes can be told without another read.
     bool knowsOtherHolder(Instant now, const Hold&) const;
