fulmard: Verify each run order once

Since orders may be forwarded, every order from another process was verified and decoded twice: to see whether it is to be forwarded, then to accept it. Verification and acceptance are steps of their own now.

--- a/Libraries/LibControl/RunEnvelope.cpp
+++ b/Libraries/LibControl/RunEnvelope.cpp
@@ -82,18 +82,21 @@
 RunOrder RunOrderChannel::open(std::string_view headerValue)
 {
     auto order = verify(headerValue);
+    accept(order);
+    return order;
+}
+
+void RunOrderChannel::accept(const RunOrder& order)
+{
     if (order.to != m_controlEndpoint)
         throw ControlError(Refusal::WrongReceiver, order.from.value(), "addressed to " + order.to.toString());
     if (!m_replayGuard.accept(order.from, order.senderStart, order.sequence))
         throw ControlError(Refusal::Replayed, order.from.value(), "sequence " + std::to_string(order.sequence));
-    return order;
 }
 
-std::optional<RunOrder> RunOrderChannel::findForwarded(std::string_view headerValue) const
+bool RunOrderChannel::mustForward(const RunOrder& order) const
 {
-    auto order = verify(headerValue);
-    bool isForOther = order.to != m_controlEndpoint && order.firstSentAgo > Model::Duration::zero();
-    return isForOther ? std::optional(std::move(order)) : std::nullopt;
+    return order.to != m_controlEndpoint && order.firstSentAgo > Model::Duration::zero();
 }
 
 std::string encodeRunResult(const RunResult& result)
--- a/Libraries/LibControl/RunEnvelope.h
+++ b/Libraries/LibControl/RunEnvelope.h
@@ -82,13 +82,15 @@
     std::string seal(RunOrder);
     // Verifies and decodes the header value. Throws ControlError if the order is refused.
     RunOrder open(std::string_view headerValue);
-    // Returns the order if it is to be forwarded: validly signed, sent again and addressed to another process. The process that
-    // it is addressed to checks that it isn't a replay.
-    std::optional<RunOrder> findForwarded(std::string_view headerValue) const;
-
-private:
+    // Verifies the signature and decodes the header value, without the checks of accept(). Throws ControlError if it is
+    // refused.
     RunOrder verify(std::string_view headerValue) const;
+    // Throws ControlError if the verified order is addressed to another process, or is a replay.
+    void accept(const RunOrder&);
+    // Whether the verified order is to be forwarded: sent again and addressed to another process, which accepts it.
+    bool mustForward(const RunOrder&) const;
 
+private:
     Signer m_signer;
     Model::InstanceId m_self;
     Model::Incarnation m_startIncarnation;
--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -281,10 +281,10 @@
 void Daemon::handleRunOrder(Transport::ServerRequestId id, Transport::HttpRequest request)
 {
     try {
-        auto header = *Transport::findHeader(request.headers, runHeader);
-        if (auto forwarded = m_orders.findForwarded(header))
-            return m_forwardedOrders.forward(id, *forwarded, std::move(request));
-        auto order = m_orders.open(header);
+        auto order = m_orders.verify(*Transport::findHeader(request.headers, runHeader));
+        if (m_orders.mustForward(order))
+            return m_forwardedOrders.forward(id, order, std::move(request));
+        m_orders.accept(order);
         std::string traceparent(Transport::findHeader(request.headers, "traceparent").value_or(""));
         auto shared = std::make_shared<const Transport::HttpRequest>(std::move(request));
         auto call = m_sidecarCalls.arrive(order, std::move(shared), traceparent, [this, id](SidecarReply reply) { respondRun(id, std::move(reply)); });
