LibDecision: Compute what is left of a quota's span in one place

Three places subtracted the granted tokens from the limit. Also: the terms of quotas are derived once, the condition on an unsettled view names what must settle, silenceLimit() has one result, and resend() no longer checks what canResend() has checked.

--- a/Libraries/LibDecision/Calls/CallTableInline.h
+++ b/Libraries/LibDecision/Calls/CallTableInline.h
@@ -515,7 +515,7 @@
     effect.remaining = call.deadline - turn.now();
     effect.firstSentAgo = turn.now() - call.attemptStartedAt;
     // The direct way has just failed or is silent, so every other send takes it.
-    bool isForwarded = profileOf(call.request.service).retries.settlesThroughPeers && call.resends % 2 == 1 && !call.isReplay();
+    bool isForwarded = profileOf(call.request.service).retries.settlesThroughPeers && call.resends % 2 == 1;
     auto forwarder = isForwarded ? m_routing.drawForwarder(turn, call.request.service, effect.sidecar) : std::nullopt;
     if (forwarder) {
         effect.forwarder = forwarder->instance;
@@ -530,11 +530,11 @@
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
 Duration CallTable<Routing, Observer, Directory>::silenceLimit(const CallRecord& call)
 {
-    Duration objective = call.terms.latencyObjective;
-    if (!profileOf(call.request.service).retries.settlesThroughPeers)
-        return std::max<Duration>(objective, resendDelay);
+    Duration limit = call.terms.latencyObjective;
     // An answer that is asked for only at the objective is late in any case.
-    return std::max<Duration>(std::clamp<Duration>(silenceFactor * expectedDuration(call), objective / 2, objective), resendDelay);
+    if (profileOf(call.request.service).retries.settlesThroughPeers)
+        limit = std::clamp<Duration>(silenceFactor * expectedDuration(call), limit / 2, limit);
+    return std::max<Duration>(limit, resendDelay);
 }
 
 template <CallRouter Routing, AttemptObserver Observer, ProfileDirectory Directory>
--- a/Libraries/LibDecision/NodeState.cpp
+++ b/Libraries/LibDecision/NodeState.cpp
@@ -33,7 +33,7 @@
     , m_claims(options.self, m_membership, m_registry, m_profiles)
     , m_admission(m_localBackends, m_profiles, m_crashGuard, m_claims, m_health)
     , m_calls(m_router, m_health, m_crashGuard, m_registry, m_profiles, { options.concurrentCalls })
-    , m_quotas(options.tenants, options.self, m_membership)
+    , m_quotas(QuotaTerms::from(options.tenants), options.self, m_membership)
 {
     m_health.useReachability([this](const InstanceId& instance) { return m_membership.isReachable(instance); });
     m_admission.useServiceSize([this](const ServiceName& service) { return m_registry.backendsOf(service).size(); });
--- a/Libraries/LibDecision/Quotas/QuotaBuckets.cpp
+++ b/Libraries/LibDecision/Quotas/QuotaBuckets.cpp
@@ -34,10 +34,15 @@
     return bucket;
 }
 
+double QuotaBuckets::leftInSpan(Instant now, const Tenant& tenant, Bucket& bucket) const
+{
+    return m_terms.grantLimit(tenant) - bucket.granted.count(now, m_terms.grantSpan());
+}
+
 uint32_t QuotaBuckets::takeTokens(Instant now, const Tenant& tenant, Bucket& bucket, double available, uint32_t wanted)
 {
-    auto left = m_terms.grantLimit(tenant) - bucket.granted.count(now, m_terms.grantSpan());
-    auto tokens = static_cast<uint32_t>(std::min<double>(wanted, std::max(0.0, std::floor(std::min(available, left)))));
+    auto whole = std::max(0.0, std::floor(std::min(available, leftInSpan(now, tenant, bucket))));
+    auto tokens = static_cast<uint32_t>(std::min<double>(wanted, whole));
     bucket.tokens.take(tokens);
     bucket.granted.add(now, m_terms.grantSpan(), tokens);
     return tokens;
@@ -53,8 +58,7 @@
         return grant;
     }
     // Tokens ahead that aren't used are lost, so they are granted only while there are plenty.
-    auto limit = m_terms.grantLimit(tenant);
-    auto left = limit - bucket.granted.count(now, m_terms.grantSpan()) - limit / keptForCallsDivisor;
+    auto left = leftInSpan(now, tenant, bucket) - m_terms.grantLimit(tenant) / keptForCallsDivisor;
     auto plenty = std::min(left, bucket.tokens.tokens() - capacityOf(tenant) / 2);
     grant.tokensAhead = takeTokens(now, tenant, bucket, plenty, need.tokensAhead);
     return grant;
@@ -62,10 +66,9 @@
 
 void QuotaBuckets::spreadReturns(Instant now, const Tenant& tenant, Bucket& bucket, uint32_t refused, QuotaGrant& grant)
 {
-    auto span = m_terms.grantSpan();
-    bool isSpanUsedUp = bucket.granted.count(now, span) + 1 > m_terms.grantLimit(tenant);
+    bool isSpanUsedUp = leftInSpan(now, tenant, bucket) < 1;
     auto refilled = seconds(std::max(0.0, 1 - bucket.tokens.tokens()) / bucket.refillRate);
-    grant.nextToken = isSpanUsedUp ? std::max<Duration>(refilled, bucket.granted.nextRelease(now, span) - now) : refilled;
+    grant.nextToken = isSpanUsedUp ? std::max<Duration>(refilled, bucket.granted.nextRelease(now, m_terms.grantSpan()) - now) : refilled;
     auto earliestReturn = now + grant.nextToken;
     if (bucket.nextReturn < earliestReturn || bucket.nextReturn > now + longestQuotaReturn)
         bucket.nextReturn = earliestReturn;
--- a/Libraries/LibDecision/Quotas/QuotaBuckets.h
+++ b/Libraries/LibDecision/Quotas/QuotaBuckets.h
@@ -46,6 +46,8 @@
 
     double capacityOf(const Tenant&) const;
     Bucket& bucketOf(Instant now, const Tenant&);
+    // Tokens that may still be granted within the span that ends now.
+    double leftInSpan(Instant now, const Tenant&, Bucket&) const;
     // Takes up to the wanted number of tokens, and returns how many.
     uint32_t takeTokens(Instant now, const Tenant&, Bucket&, double available, uint32_t wanted);
     void spreadReturns(Instant now, const Tenant&, Bucket&, uint32_t refused, QuotaGrant&);
--- a/Libraries/LibDecision/Quotas/Quotas.h
+++ b/Libraries/LibDecision/Quotas/Quotas.h
@@ -24,11 +24,11 @@
 template <ClaimPeers Peers>
 class Quotas {
 public:
-    Quotas(const TenantTerms& terms, const MemberRecord& self, const Peers& peers)
+    Quotas(const QuotaTerms& terms, const MemberRecord& self, const Peers& peers)
         : m_self { self.instance, self.incarnation }
         , m_peers(peers)
-        , m_holder(m_self, m_directory, QuotaTerms::from(terms))
-        , m_requester(m_self, m_directory, QuotaTerms::from(terms), [this](uint32_t partition) { return candidatesOf(partition); })
+        , m_holder(m_self, m_directory, terms)
+        , m_requester(m_self, m_directory, terms, [this](uint32_t partition) { return candidatesOf(partition); })
     {
     }
 
@@ -170,8 +170,8 @@
         // While members are still being learned, each process takes itself for the first candidate of many partitions.
         auto fingerprint = fingerprintOfMembers();
         bool isSettled = fingerprint == std::exchange(m_seenMembers, fingerprint);
-        bool mayWait = !m_candidacies && turn.now() < m_settleUntil;
-        if (!isSettled && (m_candidacies || mayWait))
+        bool mustSettle = m_candidacies || turn.now() < m_settleUntil;
+        if (mustSettle && !isSettled)
             return;
         if (!m_candidacies || fingerprint != m_rankedMembers) {
             m_rankedMembers = fingerprint;
--- a/Tests/LibDecision/Quotas/QuotaFleet.cpp
+++ b/Tests/LibDecision/Quotas/QuotaFleet.cpp
@@ -18,7 +18,7 @@
 
 QuotaProcess::QuotaProcess(const MemberRecord& self, std::shared_ptr<QuotaPeers::Members> members, uint64_t seed, double clockRate)
     : m_peers(self, std::move(members))
-    , m_quotas(quotaTerms, self, m_peers)
+    , m_quotas(QuotaTerms::from(quotaTerms), self, m_peers)
     , m_random(seed)
     , m_clockRate(clockRate)
 {
