LibDecision: Draw a forwarding process from lists of candidates

Drawing while walking over the sidecars needed a counter and two flags to prefer the own zone. The distribution is the same.

--- a/Libraries/LibDecision/Routing/Router.h
+++ b/Libraries/LibDecision/Routing/Router.h
@@ -248,21 +248,18 @@
 std::optional<Forwarder> Router<Members>::drawForwarder(Turn& turn, const ServiceName& service, const InstanceId& sidecar) const
 {
     const auto& self = m_members.self();
-    std::optional<Forwarder> drawn;
-    bool isDrawnInZone = false;
-    uint32_t count = 0;
+    std::vector<Forwarder> near;
+    std::vector<Forwarder> far;
     for (const auto* record : m_registry.backendsOf(service)) {
-        auto control = record->sidecar == sidecar || record->sidecar == self.instance ? std::nullopt : controlOf(record->sidecar);
-        bool isInZone = control && m_members.find(record->sidecar)->zone == self.zone;
-        if (!control || (isDrawnInZone && !isInZone))
+        if (record->sidecar == sidecar || record->sidecar == self.instance)
             continue;
-        if (isInZone && !std::exchange(isDrawnInZone, true))
-            count = 0;
-        // Each of the candidates so far is drawn with the same probability.
-        if (std::uniform_int_distribution<uint32_t>(0, count++)(turn.random()) == 0)
-            drawn = Forwarder { record->sidecar, *control };
+        if (auto control = controlOf(record->sidecar))
+            (m_members.find(record->sidecar)->zone == self.zone ? near : far).push_back({ record->sidecar, *control });
     }
-    return drawn;
+    const auto& candidates = near.empty() ? far : near;
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[std::uniform_int_distribution<size_t>(0, candidates.size() - 1)(turn.random())];
 }
 
 template <MembershipView Members>
