fulmard: Make plain answers in one place, and drop headers that the writers drop

ForwardedOrders had its own copy of Daemon's plain answer. It also removed content-length, which RequestText and ResponseWriter set by themselves.

--- a/Services/fulmard/Daemon.cpp
+++ b/Services/fulmard/Daemon.cpp
@@ -3,6 +3,7 @@
 #include <LibControl/Compression.h>
 #include <LibDecision/NodeState.h>
 #include <Services/fulmard/ClientOutcome.h>
+#include <Services/fulmard/ProblemDetails.h>
 
 #include <algorithm>
 #include <array>
@@ -61,11 +62,6 @@
         return { statusOf(Outcome::NotRun, reason), { { "content-type", "text/plain; charset=utf-8" }, { sidecarHeader, Control::encodeRunResult(result) } }, std::string(nameOf(reason)) + "\n" };
     }
 
-    Transport::HttpResponse plainResponse(uint16_t status, const std::string& text)
-    {
-        return { status, { { "content-type", "text/plain; charset=utf-8" } }, text + "\n" };
-    }
-
     // The answer to a health check proves nothing beyond its status and what the backend server says of its own state, so
     // it is read without the edge's other headers.
     Decision::RunReport probeReportOf(const Transport::ClientResult& result, const EdgeSettings& edge)
@@ -335,17 +331,17 @@
         return readiness();
     if (request.method == "GET" && request.target == metricsPath)
         return { 200, { { "content-type", "text/plain; version=0.0.4" } }, metricsText() };
-    return plainResponse(404, "there is nothing at this path");
+    return makePlainResponse(404, "there is nothing at this path");
 }
 
 Transport::HttpResponse Daemon::readiness() const
 {
     const auto& state = node().state();
     if (state.isLeaving())
-        return plainResponse(503, "leaving");
+        return makePlainResponse(503, "leaving");
     if (state.routes().isUsed() && !state.routes().table())
-        return plainResponse(503, "no routes are known yet");
-    return plainResponse(200, "ready");
+        return makePlainResponse(503, "no routes are known yet");
+    return makePlainResponse(200, "ready");
 }
 
 Transport::HttpResponse Daemon::answerAnnouncement(const Transport::HttpRequest& request)
@@ -355,17 +351,17 @@
         if (request.method == "DELETE")
             return withdraw(BackendId(backend), request.peerAddress);
         if (request.method != "PUT")
-            return plainResponse(405, "announcements are made by PUT and withdrawn by DELETE");
+            return makePlainResponse(405, "announcements are made by PUT and withdrawn by DELETE");
         auto announcement = m_options.platform.readAnnouncement(backend, request.body);
         if (announcement.endpoint.address != request.peerAddress)
-            return plainResponse(403, "the endpoint's address differs from the sender's address " + request.peerAddress);
+            return makePlainResponse(403, "the endpoint's address differs from the sender's address " + request.peerAddress);
         m_driver.handle(Decision::BackendAnnounced { std::move(announcement) });
         return { 204, {}, "" };
     } catch (const Model::Error& error) {
         Telemetry::LogRecord record { Telemetry::LogLevel::Warn, "announcement-refused", {} };
         record.fields = { { "step", error.step() }, { "backend", backend }, { "peer", request.peerAddress }, { "evidence", error.what() } };
         m_observability.log().write(m_loop.now(), std::move(record));
-        return plainResponse(400, error.what());
+        return makePlainResponse(400, error.what());
     }
 }
 
@@ -374,9 +370,9 @@
     auto known = node().state().localBackends().find(backend);
     const auto& latestIncarnation = m_options.platform.latestIncarnation;
     if (!known && !latestIncarnation && !node().state().registry().find(backend))
-        return plainResponse(404, "backend server " + backend.value() + " hasn't announced itself to this process");
+        return makePlainResponse(404, "backend server " + backend.value() + " hasn't announced itself to this process");
     if (known && known->announcement.endpoint.address != peerAddress)
-        return plainResponse(403, "the backend server's address differs from the sender's address " + peerAddress);
+        return makePlainResponse(403, "the backend server's address differs from the sender's address " + peerAddress);
     m_driver.handle(Decision::BackendWithdrawn { backend, latestIncarnation ? std::optional(latestIncarnation()) : std::nullopt });
     return { 204, {}, "" };
 }
@@ -495,7 +491,7 @@
 
 void Daemon::respondControl(Transport::ServerRequestId id, uint16_t status, const std::string& text)
 {
-    m_controlServer.respond(id, plainResponse(status, text));
+    m_controlServer.respond(id, makePlainResponse(status, text));
 }
 
 void Daemon::carryOut(const Decision::Effect& effect)
--- a/Services/fulmard/ForwardedOrders.cpp
+++ b/Services/fulmard/ForwardedOrders.cpp
@@ -1,5 +1,7 @@
 #include <Services/fulmard/ForwardedOrders.h>
 
+#include <Services/fulmard/ProblemDetails.h>
+
 #include <memory>
 #include <utility>
 
@@ -11,7 +13,7 @@
     constexpr uint16_t badGateway = 502;
 
     // Carries no result of a sidecar, so the sender learns only that this way failed.
-    Transport::HttpResponse notForwarded() { return { badGateway, { { "content-type", "text/plain; charset=utf-8" } }, "not-forwarded\n" }; }
+    Transport::HttpResponse notForwarded() { return makePlainResponse(badGateway, "not-forwarded"); }
 
 }
 
@@ -28,7 +30,6 @@
         return m_respond(id, notForwarded());
     ++m_total;
     Transport::removeHopByHopHeaders(request.headers);
-    std::erase_if(request.headers, [](const Transport::HttpHeader& header) { return header.name == "content-length"; });
     auto whole = std::make_shared<const Transport::HttpRequest>(std::move(request));
     Transport::ClientRequest forwarded;
     forwarded.to = order.to;
@@ -54,7 +55,6 @@
     if (result.status != Transport::ClientStatus::Answered)
         return m_respond(id, notForwarded());
     Transport::removeHopByHopHeaders(result.response.headers);
-    std::erase_if(result.response.headers, [](const Transport::HttpHeader& header) { return header.name == "content-length"; });
     m_respond(id, std::move(result.response));
 }
 
--- a/Services/fulmard/ProblemDetails.cpp
+++ b/Services/fulmard/ProblemDetails.cpp
@@ -83,6 +83,11 @@
     return outcome == Outcome::NotRun ? serviceUnavailable : badGateway;
 }
 
+Transport::HttpResponse makePlainResponse(uint16_t status, const std::string& text)
+{
+    return { status, { { "content-type", "text/plain; charset=utf-8" } }, text + "\n" };
+}
+
 Transport::HttpResponse makeProblemResponse(const Problem& problem, StatusScheme scheme)
 {
     auto status = statusOf(problem.outcome, problem.reason, scheme);
--- a/Services/fulmard/ProblemDetails.h
+++ b/Services/fulmard/ProblemDetails.h
@@ -34,6 +34,9 @@
 // Gives the HTTP status that fits a refusal or failure.
 uint16_t statusOf(Outcome, Reason, StatusScheme = StatusScheme::ByReason);
 
+// Makes an answer of one line of text, for peers and operators.
+Transport::HttpResponse makePlainResponse(uint16_t status, const std::string& text);
+
 // Makes a problem-details answer. https://www.rfc-editor.org/rfc/rfc9457
 Transport::HttpResponse makeProblemResponse(const Problem&, StatusScheme = StatusScheme::ByReason);
 
