--- a/Tests/fulmard/DaemonTest.h
+++ b/Tests/fulmard/DaemonTest.h
@@ -66,16 +66,22 @@
         return condition();
     }
 
-    uint16_t checkIn(const std::string& id, const std::string& body)
+    // Gives status 0 without an answer.
+    Transport::HttpResponse exchange(const Endpoint& to, Transport::HttpRequest message)
     {
         Transport::ClientRequest request;
-        request.to = m_daemon->controlEndpoint();
-        request.request = { "PUT", "", "/v1/backends/" + id, { { "content-type", "application/json" } }, body };
+        request.to = to;
+        request.request = std::move(message);
         request.deadline = 5s;
-        std::optional<uint16_t> status;
-        m_client.send(std::move(request), [&](const Transport::ClientResult& result) { status = result.response.status; });
-        runUntil([&] { return status.has_value(); });
-        return status.value_or(0);
+        std::optional<Transport::HttpResponse> response;
+        m_client.send(std::move(request), [&](const Transport::ClientResult& result) { response = result.response; });
+        runUntil([&] { return response.has_value(); });
+        return response.value_or(Transport::HttpResponse { 0, {}, "" });
+    }
+
+    uint16_t checkIn(const std::string& id, const std::string& body)
+    {
+        return exchange(m_daemon->controlEndpoint(), { "PUT", "", "/v1/backends/" + id, { { "content-type", "application/json" } }, body }).status;
     }
 
     static std::string report(const std::string& name = "", const std::string& value = "")
--- a/Tests/fulmard/TestConnectionMetrics.cpp
+++ b/Tests/fulmard/TestConnectionMetrics.cpp
@@ -6,18 +6,6 @@
 
 class ConnectionMetrics : public DaemonTest {
 protected:
-    Transport::HttpResponse send(const Endpoint& to, const std::string& method, const std::string& target, std::string body)
-    {
-        Transport::ClientRequest request;
-        request.to = to;
-        request.request = { method, "", target, {}, std::move(body) };
-        request.deadline = 5s;
-        std::optional<Transport::HttpResponse> response;
-        m_client.send(std::move(request), [&](const Transport::ClientResult& result) { response = result.response; });
-        runUntil([&] { return response.has_value(); });
-        return response.value_or(Transport::HttpResponse {});
-    }
-
     Endpoint freeEndpoint()
     {
         Transport::HttpServerOptions options;
@@ -34,7 +22,7 @@
     announcements = freeEndpoint();
     memoryBytes = 512u << 10;
     start();
-    EXPECT_EQ(send(*announcements, "POST", "/", std::string(500'000, 'x')).status, 503);
-    auto metrics = send(m_daemon->controlEndpoint(), "GET", "/metrics", "").body;
+    EXPECT_EQ(exchange(*announcements, { "POST", "", "/", {}, std::string(500'000, 'x') }).status, 503);
+    auto metrics = exchange(m_daemon->controlEndpoint(), { "GET", "", "/metrics", {}, "" }).body;
     EXPECT_NE(metrics.find("fulmar_memory_refusals_total 1\n"), std::string::npos);
 }
--- a/Tests/fulmard/TestForwardedOrders.cpp
+++ b/Tests/fulmard/TestForwardedOrders.cpp
@@ -51,14 +51,7 @@
 
     Transport::HttpResponse send(const std::string& sealedOrder)
     {
-        Transport::ClientRequest request;
-        request.to = m_forwarder->controlEndpoint();
-        request.request = { "POST", "office.example", "/book", { { "fulmar-run", sealedOrder } }, "body" };
-        request.deadline = 5s;
-        std::optional<Transport::HttpResponse> response;
-        m_client.send(std::move(request), [&](const Transport::ClientResult& result) { response = result.response; });
-        runUntil([&] { return response.has_value(); });
-        return response.value_or(Transport::HttpResponse { 0, {}, "" });
+        return exchange(m_forwarder->controlEndpoint(), { "POST", "office.example", "/book", { { "fulmar-run", sealedOrder } }, "body" });
     }
 
     static std::optional<Control::RunResult> resultOf(const Transport::HttpResponse& response)
--- a/Tests/fulmard/TestRoutesInForce.cpp
+++ b/Tests/fulmard/TestRoutesInForce.cpp
@@ -14,14 +14,8 @@
         using namespace std::chrono;
         auto now = duration_cast<seconds>(system_clock::now().time_since_epoch()).count();
         Control::Signer signer(operatorKey);
-        Transport::ClientRequest request;
-        request.to = m_daemon->controlEndpoint();
-        request.request = { "GET", "", "/v1/routes", { { "fulmar-operator", Control::signOperatorCall(signer, { "GET", "/v1/routes", "" }, now, ++m_nonce) } }, "" };
-        request.deadline = 5s;
-        std::optional<Transport::HttpResponse> response;
-        m_client.send(std::move(request), [&](const Transport::ClientResult& result) { response = result.response; });
-        runUntil([&] { return response.has_value(); });
-        return response.value_or(Transport::HttpResponse {});
+        auto signature = Control::signOperatorCall(signer, { "GET", "/v1/routes", "" }, now, ++m_nonce);
+        return exchange(m_daemon->controlEndpoint(), { "GET", "", "/v1/routes", { { "fulmar-operator", signature } }, "" });
     }
 
     // That of the platform's settings files.
--- a/Tests/fulmard/TestTenants.cpp
+++ b/Tests/fulmard/TestTenants.cpp
@@ -49,16 +49,9 @@
 
     Transport::HttpResponse send(const std::string& target, Transport::HeaderList headers)
     {
-        Transport::ClientRequest request;
-        request.to = m_ingress ? m_ingress->callersEndpoint() : m_daemon->callersEndpoint();
         if (!Transport::findHeader(headers, "attempt-id"))
             headers.push_back({ "attempt-id", "a-" + std::to_string(++m_lastRequest) });
-        request.request = { "POST", "office.example", target, std::move(headers), "body" };
-        request.deadline = 5s;
-        std::optional<Transport::HttpResponse> response;
-        m_client.send(std::move(request), [&](const Transport::ClientResult& result) { response = result.response; });
-        runUntil([&] { return response.has_value(); });
-        return response.value_or(Transport::HttpResponse { 0, {}, "" });
+        return exchange(m_ingress ? m_ingress->callersEndpoint() : m_daemon->callersEndpoint(), { "POST", "office.example", target, std::move(headers), "body" });
     }
 
     std::optional<std::string> lastReceived(std::string_view header) const
