review: Show that an upstream that left is used again after a kill of all processes

Cause: that an upstream has left is known only to the processes. After a kill of all of them a check-in that was sent before the withdrawal and comes late is taken for that of an upstream that serves.

Nothing is fixed.

--- a/review/harness-2/Fleet.h
+++ b/review/harness-2/Fleet.h
@@ -88,34 +88,56 @@
         std::thread([this] { beat(); }).detach();
     }
 
+    // Sends no check-in any more, says that it is gone, and serves on. Returns the status of the confirmation.
+    int withdraw()
+    {
+        m_isWithdrawn = true;
+        auto answer = tell("DELETE", "");
+        return answer ? answer->status() : 0;
+    }
+
+    // The check-in before the withdrawal arrives only now.
+    int deliverLateCheckIn()
+    {
+        auto answer = tell("PUT", checkIn(m_sequence));
+        return answer ? answer->status() : 0;
+    }
+
     // Work takes this many times as long.
     void setSlowness(double factor) { m_slowness = factor; }
     const UpstreamOptions& options() const { return m_options; }
 
 private:
+    std::string checkIn(uint64_t sequence) const
+    {
+        Json::Value json;
+        json["service"] = m_options.service;
+        json["address"] = m_options.at.text();
+        json["zone"] = m_options.zone;
+        json["version"] = "v1";
+        json["slots"] = m_options.slots;
+        json["state"] = "ready";
+        json["coldRemainingMs"] = 0;
+        json["sequence"] = Json::UInt64(sequence);
+        json["born"] = Json::Int64(m_born);
+        return formatJson(json);
+    }
+
+    std::optional<Message> tell(const std::string& method, const std::string& body)
+    {
+        Stream stream;
+        if (!stream.connect(m_options.control, m_options.at.ip))
+            return std::nullopt;
+        stream.write(method + " /v1/backends/" + m_options.id + " HTTP/1.1\r\nHost: " + m_options.control.text() + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body);
+        auto answer = stream.read(Clock::now() + std::chrono::seconds(1));
+        m_record.write("check-in: " + m_options.id + " " + method + " " + body + " -> " + (answer ? answer->startLine : "no answer"));
+        return answer;
+    }
+
     void beat()
     {
-        for (uint64_t sequence = 1;; ++sequence) {
-            Json::Value json;
-            json["service"] = m_options.service;
-            json["address"] = m_options.at.text();
-            json["zone"] = m_options.zone;
-            json["version"] = "v1";
-            json["slots"] = m_options.slots;
-            json["state"] = "ready";
-            json["coldRemainingMs"] = 0;
-            json["sequence"] = Json::UInt64(sequence);
-            json["born"] = Json::Int64(m_born);
-            auto body = formatJson(json);
-            Stream stream;
-            if (stream.connect(m_options.control, m_options.at.ip)) {
-                stream.write("PUT /v1/backends/" + m_options.id + " HTTP/1.1\r\nHost: " + m_options.control.text() + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body);
-                auto answer = stream.read(Clock::now() + std::chrono::seconds(1));
-                if (answer && answer->status() / 100 != 2)
-                    m_record.write("check-in of " + m_options.id + " got " + answer->startLine);
-            }
-            std::this_thread::sleep_for(Milliseconds(m_options.heartbeatMs));
-        }
+        for (; !m_isWithdrawn; std::this_thread::sleep_for(Milliseconds(m_options.heartbeatMs)))
+            tell("PUT", checkIn(++m_sequence));
     }
 
     void serve(int descriptor)
@@ -175,6 +197,8 @@
     int m_running { 0 };
     int m_waiting { 0 };
     std::atomic<double> m_slowness { 1 };
+    std::atomic<bool> m_isWithdrawn { false };
+    std::atomic<uint64_t> m_sequence { 0 };
 };
 
 struct MachineOptions {
