review: Show that a late withdrawal takes the next boot of an upstream out for good

Cause: a withdrawal names no boot and is taken for the one that is known. That boot then leaves for good, and its later check-ins are confirmed and ignored.

Nothing is fixed.

--- a/review/harness-2/Fleet.h
+++ b/review/harness-2/Fleet.h
@@ -96,6 +96,25 @@
         return answer ? answer->status() : 0;
     }
 
+    // Leaves without a check-in from now on; its withdrawal is on the way.
+    void leaveUnheard() { m_isWithdrawn = true; }
+
+    // The withdrawal of an earlier boot arrives.
+    int deliverLateWithdrawal()
+    {
+        auto answer = tell("DELETE", "");
+        return answer ? answer->status() : 0;
+    }
+
+    // Starts again under its id and at its address: a new boot, whose check-ins count anew.
+    void startAgain()
+    {
+        m_born = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+        m_sequence = 0;
+        ++m_boot;
+        m_isWithdrawn = false;
+    }
+
     // The check-in before the withdrawal arrives only now.
     int deliverLateCheckIn()
     {
@@ -119,7 +138,7 @@
         json["state"] = "ready";
         json["coldRemainingMs"] = 0;
         json["sequence"] = Json::UInt64(sequence);
-        json["born"] = Json::Int64(m_born);
+        json["born"] = Json::Int64(m_born.load());
         return formatJson(json);
     }
 
@@ -136,16 +155,20 @@
 
     void beat()
     {
-        for (; !m_isWithdrawn; std::this_thread::sleep_for(Milliseconds(m_options.heartbeatMs)))
-            tell("PUT", checkIn(++m_sequence));
+        for (;; std::this_thread::sleep_for(Milliseconds(m_options.heartbeatMs))) {
+            if (!m_isWithdrawn)
+                tell("PUT", checkIn(++m_sequence));
+        }
     }
 
     void serve(int descriptor)
     {
         constexpr auto idleTimeout = std::chrono::seconds(10);
         Stream stream(descriptor);
+        int boot = m_boot;
         while (auto request = stream.read(Clock::now() + idleTimeout)) {
-            if (!stream.write(answer(*request, stream)))
+            // The connection ended with the boot that had accepted it.
+            if (boot != m_boot || !stream.write(answer(*request, stream)))
                 return;
         }
     }
@@ -191,7 +214,8 @@
     Record& m_record;
     Runs& m_runs;
     UpstreamOptions m_options;
-    int64_t m_born;
+    std::atomic<int64_t> m_born;
+    std::atomic<int> m_boot { 0 };
     std::mutex m_mutex;
     std::condition_variable m_freed;
     int m_running { 0 };
